Add the workspace, shared types and the contract of the reducer

The reducer's events and effects, the messages between instances and docs/PROTOCOLS.md come first, so that the areas can be built side by side.

--- /dev/null
+++ b/crates/base/src/lib.rs
@@ -0,0 +1,15 @@
+//! Identifiers, sizes, rates and time shared by every crate.
+//!
+//! All types are plain data with [`Display`](std::fmt::Display) and
+//! [`FromStr`](std::str::FromStr); parsing never panics.
+
+pub mod id;
+pub mod size;
+pub mod time;
+
+pub use id::{
+    AttemptId, CallId, DataCentre, EntryName, IdempotencyKey, Incarnation, InstanceName, OpId,
+    RequestId, Revision, ServiceName, ShardName, SnapshotId, UpstreamName, Version,
+};
+pub use size::{ByteSize, Percent, Rate};
+pub use time::Time;
--- /dev/null
+++ b/crates/briarcove/src/lib.rs
@@ -0,0 +1,1 @@
+//! The briarcove command line and entry instance.
--- /dev/null
+++ b/crates/briarcove/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point of the `briarcove` binary.
+fn main() {}
--- /dev/null
+++ b/crates/cat/src/lib.rs
@@ -0,0 +1,10 @@
+//! Catalogue and settings: their model, the reader of JSON with comments, and its findings.
+//!
+//! A document is read in one pass that reports every finding with its place; a document with
+//! findings of severity *error* yields no value.
+
+pub mod index;
+pub mod model;
+
+pub use index::{Index, Shard, Snapshot};
+pub use model::{Catalogue, Class, Entry, Limits, Service, Upstream};
--- /dev/null
+++ b/crates/front/src/lib.rs
@@ -0,0 +1,1 @@
+//! HTTP endpoints for callers and operators.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! Transport of messages between instances.
--- /dev/null
+++ b/crates/plat/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's object API.
--- /dev/null
+++ b/crates/rig/src/lib.rs
@@ -0,0 +1,1 @@
+//! Test-only stand-ins, load and experiment tool, history checks.
--- /dev/null
+++ b/crates/rig/src/main.rs
@@ -0,0 +1,2 @@
+//! Entry point of the test-only `briarcove-rig` binary.
+fn main() {}
--- /dev/null
+++ b/crates/up/src/lib.rs
@@ -0,0 +1,1 @@
+//! Connections to upstreams.
--- /dev/null
+++ b/crates/wire/src/codec.rs
@@ -0,0 +1,64 @@
+//! Length-delimited frames, each one encoded [`Envelope`](crate::Envelope).
+
+use bytes::{Bytes, BytesMut};
+use prost::Message;
+use snafu::{ResultExt, Snafu};
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+use crate::Envelope;
+
+/// Largest accepted frame, in bytes.
+pub const MAX_FRAME_BYTES: usize = 4 << 20;
+
+/// A frame that cannot be read or written.
+#[derive(Debug, Snafu)]
+pub enum FrameError {
+    /// The frame is longer than [`MAX_FRAME_BYTES`], or the link failed.
+    #[snafu(context(false), display("frame: {source}"))]
+    Link {
+        /// What the framing or the link reported.
+        source: std::io::Error,
+    },
+    /// The frame holds no valid message.
+    #[snafu(display("message: {source}"))]
+    Decode {
+        /// What the decoder reported.
+        source: prost::DecodeError,
+    },
+}
+
+/// Frames messages over a byte stream.
+#[derive(Debug)]
+pub struct Codec {
+    frames: LengthDelimitedCodec,
+}
+
+impl Default for Codec {
+    fn default() -> Self {
+        let frames = LengthDelimitedCodec::builder()
+            .max_frame_length(MAX_FRAME_BYTES)
+            .new_codec();
+        Self { frames }
+    }
+}
+
+impl Decoder for Codec {
+    type Item = Envelope;
+    type Error = FrameError;
+
+    fn decode(&mut self, buf: &mut BytesMut) -> Result<Option<Envelope>, FrameError> {
+        let Some(frame) = self.frames.decode(buf)? else {
+            return Ok(None);
+        };
+        Envelope::decode(frame).context(DecodeSnafu).map(Some)
+    }
+}
+
+impl Encoder<&Envelope> for Codec {
+    type Error = FrameError;
+
+    fn encode(&mut self, message: &Envelope, buf: &mut BytesMut) -> Result<(), FrameError> {
+        let frame = Bytes::from(message.encode_to_vec());
+        Ok(self.frames.encode(frame, buf)?)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/message.rs
@@ -0,0 +1,284 @@
+//! The messages themselves.
+
+use bytes::Bytes;
+use prost::{Message, Oneof};
+
+/// One message with its sender.
+#[derive(Clone, PartialEq, Message)]
+pub struct Envelope {
+    /// Name of the sending instance.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Start count of the sending instance.
+    #[prost(uint64, tag = "2")]
+    pub incarnation: u64,
+    /// What is said.
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10")]
+    pub body: Option<Body>,
+}
+
+/// The kinds of message.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum Body {
+    /// Liveness and hints, sent at a fixed interval.
+    #[prost(message, tag = "3")]
+    Heartbeat(Heartbeat),
+    /// Request for platform objects newer than a version.
+    #[prost(message, tag = "4")]
+    Pull(Pull),
+    /// Platform objects in answer to a pull.
+    #[prost(message, tag = "5")]
+    Objects(Objects),
+    /// Sub-requests for upstreams that the receiver owns.
+    #[prost(message, tag = "6")]
+    Relay(Relay),
+    /// Results of relayed sub-requests.
+    #[prost(message, tag = "7")]
+    Relayed(Relayed),
+    /// Cancellation of relayed sub-requests.
+    #[prost(message, tag = "8")]
+    Cancel(Cancel),
+    /// A claim that the receiver is asked to put on record.
+    #[prost(message, tag = "9")]
+    Claim(Claim),
+    /// Result of a forwarded claim.
+    #[prost(message, tag = "10")]
+    Claimed(Claimed),
+}
+
+/// Liveness and hints.
+#[derive(Clone, PartialEq, Message)]
+pub struct Heartbeat {
+    /// Data centre of the sender.
+    #[prost(string, tag = "1")]
+    pub data_centre: String,
+    /// Address on which the sender accepts peers.
+    #[prost(string, tag = "2")]
+    pub address: String,
+    /// Count of the heartbeats that the sender has sent.
+    #[prost(uint64, tag = "3")]
+    pub sequence: u64,
+    /// Greatest platform version up to which the sender holds every watched object.
+    #[prost(uint64, tag = "4")]
+    pub seen: u64,
+    /// Whether the sender is shutting down.
+    #[prost(bool, tag = "5")]
+    pub leaving: bool,
+    /// Members that the sender knows, a rotating few at a time.
+    #[prost(message, repeated, tag = "6")]
+    pub members: Vec<Member>,
+    /// Upstreams that the sender heard are leaving.
+    #[prost(message, repeated, tag = "7")]
+    pub leaving_upstreams: Vec<LeavingUpstream>,
+    /// Requests that broke upstreams.
+    #[prost(message, repeated, tag = "8")]
+    pub quarantine: Vec<Quarantined>,
+}
+
+/// What the sender knows of another instance.
+#[derive(Clone, PartialEq, Message)]
+pub struct Member {
+    /// Name of the instance.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Its data centre.
+    #[prost(string, tag = "2")]
+    pub data_centre: String,
+    /// Address on which it accepts peers.
+    #[prost(string, tag = "3")]
+    pub address: String,
+    /// Its start count.
+    #[prost(uint64, tag = "4")]
+    pub incarnation: u64,
+    /// Liveness as a number: see `node::members::Liveness`.
+    #[prost(uint32, tag = "5")]
+    pub liveness: u32,
+}
+
+/// An upstream that takes no new work.
+#[derive(Clone, PartialEq, Message)]
+pub struct LeavingUpstream {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Age of the news when it was sent, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub age_ms: u64,
+}
+
+/// A request that breaks upstreams.
+#[derive(Clone, PartialEq, Message)]
+pub struct Quarantined {
+    /// Digest of service and body.
+    #[prost(fixed64, tag = "1")]
+    pub fingerprint: u64,
+    /// Upstreams that it broke.
+    #[prost(string, repeated, tag = "2")]
+    pub broke: Vec<String>,
+    /// Time that the record is still to be kept, in milliseconds.
+    #[prost(uint64, tag = "3")]
+    pub left_ms: u64,
+}
+
+/// Request for platform objects newer than a version.
+#[derive(Clone, PartialEq, Message)]
+pub struct Pull {
+    /// Version up to which the sender holds every watched object.
+    #[prost(uint64, tag = "1")]
+    pub after: u64,
+}
+
+/// Platform objects newer than a version.
+#[derive(Clone, PartialEq, Message)]
+pub struct Objects {
+    /// The objects, in growing order of their versions.
+    #[prost(message, repeated, tag = "1")]
+    pub objects: Vec<Object>,
+    /// Version up to which the receiver is complete once it holds the objects.
+    #[prost(uint64, tag = "2")]
+    pub seen: u64,
+}
+
+/// One platform object.
+#[derive(Clone, PartialEq, Message)]
+pub struct Object {
+    /// Kind of the object.
+    #[prost(string, tag = "1")]
+    pub kind: String,
+    /// Name of the object within its kind.
+    #[prost(string, tag = "2")]
+    pub name: String,
+    /// Version of the object.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+    /// The object as JSON.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub value: Bytes,
+}
+
+/// Sub-requests for upstreams that the receiver owns.
+#[derive(Clone, PartialEq, Message)]
+pub struct Relay {
+    /// Identity of the caller's request, big-endian.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub request: Bytes,
+    /// Service of the upstreams.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// Snapshot that the answer is drawn from.
+    #[prost(uint64, tag = "3")]
+    pub snapshot: u64,
+    /// Time left until the request's deadline, in microseconds.
+    #[prost(uint64, tag = "4")]
+    pub left_us: u64,
+    /// Hits wanted from each shard.
+    #[prost(uint32, tag = "5")]
+    pub limit: u32,
+    /// Body of the request.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub body: Bytes,
+    /// One part for each shard.
+    #[prost(message, repeated, tag = "7")]
+    pub parts: Vec<RelayPart>,
+}
+
+/// One relayed sub-request.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayPart {
+    /// Attempt id of the sender.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// Upstream to ask.
+    #[prost(string, tag = "2")]
+    pub upstream: String,
+    /// Shard to search.
+    #[prost(string, tag = "3")]
+    pub shard: String,
+}
+
+/// Results of relayed sub-requests.
+#[derive(Clone, PartialEq, Message)]
+pub struct Relayed {
+    /// One result for each attempt that ended.
+    #[prost(message, repeated, tag = "1")]
+    pub results: Vec<RelayResult>,
+}
+
+/// Result of one relayed sub-request.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayResult {
+    /// Attempt id of the instance that asked.
+    #[prost(uint64, tag = "1")]
+    pub attempt: u64,
+    /// Identity of the caller's request, as the upstream echoed it.
+    #[prost(bytes = "bytes", tag = "2")]
+    pub request: Bytes,
+    /// Snapshot that the upstream echoed.
+    #[prost(uint64, tag = "3")]
+    pub snapshot: u64,
+    /// Shard that the upstream echoed.
+    #[prost(string, tag = "4")]
+    pub shard: String,
+    /// How the attempt ended: see `node::relay::ResultCode`.
+    #[prost(uint32, tag = "5")]
+    pub code: u32,
+    /// Hits of the shard.
+    #[prost(message, repeated, tag = "6")]
+    pub hits: Vec<Hit>,
+    /// Time that the sub-request waited for a slot, in microseconds.
+    #[prost(uint64, tag = "7")]
+    pub queued_us: u64,
+    /// Snapshots that the upstream serves, when it lacks the one asked for.
+    #[prost(uint64, repeated, tag = "8")]
+    pub available: Vec<u64>,
+}
+
+/// One hit.
+#[derive(Clone, PartialEq, Message)]
+pub struct Hit {
+    /// Identity of the document.
+    #[prost(string, tag = "1")]
+    pub id: String,
+    /// Score; greater is better.
+    #[prost(uint64, tag = "2")]
+    pub score: u64,
+    /// Text of the document.
+    #[prost(string, tag = "3")]
+    pub text: String,
+}
+
+/// Cancellation of relayed sub-requests.
+#[derive(Clone, PartialEq, Message)]
+pub struct Cancel {
+    /// Attempt ids of the sender.
+    #[prost(uint64, repeated, tag = "1")]
+    pub attempts: Vec<u64>,
+}
+
+/// A claim that the receiver is asked to put on record.
+#[derive(Clone, PartialEq, Message)]
+pub struct Claim {
+    /// Number that the sender uses to match the result.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// Bucket object of the claim.
+    #[prost(string, tag = "2")]
+    pub bucket: String,
+    /// Record to add, as JSON.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub record: Bytes,
+}
+
+/// Result of a forwarded claim.
+#[derive(Clone, PartialEq, Message)]
+pub struct Claimed {
+    /// Number from the claim.
+    #[prost(uint64, tag = "1")]
+    pub ticket: u64,
+    /// How the claim ended: see `node::claims::ClaimCode`.
+    #[prost(uint32, tag = "2")]
+    pub code: u32,
+    /// Record that holds the key, as JSON, when another holds it.
+    #[prost(bytes = "bytes", tag = "3")]
+    pub record: Bytes,
+}
