--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,12 +5,14 @@
 
 pub mod effect;
 pub mod event;
+pub mod node;
 pub mod object;
 pub mod protocol;
 pub mod stats;
 
 pub use effect::{Answer, Coverage, Effect, Found, PlatformOp, Reason, Refusal, Send};
 pub use event::{Call, Event, Failure, PlatformEvent, Reply, UpstreamEvent};
+pub use node::Node;
 pub use object::{Kind, Object};
 pub use protocol::{Echo, Hit, SubRequest};
 pub use stats::Stats;
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,4 +1,4 @@
-//! Length-delimited frames, each one encoded [`Envelope`](crate::Envelope).
+//! Length-delimited frames, each one encoded [`Envelope`].
 
 use bytes::{Bytes, BytesMut};
 use prost::Message;
