node: search path of the reducer: plan, probe, fan-out, hedge, retry, answer

Search state, slots and queues of an upstream, admission, quarantine and the choice among replicas are files of their own; Node only tells events apart. Relay and the once class are still empty.

--- /dev/null
+++ b/crates/node/src/budget.rs
@@ -0,0 +1,93 @@
+//! Token budgets: extra load as a share of regular load, and rates over time.
+
+use base::{Percent, Rate, Time};
+
+/// Tokens in thousandths, so that shares of one percent add up exactly.
+const MILLI: u64 = 1_000;
+
+/// Lets extra attempts through as a share of first attempts.
+#[derive(Clone, Copy, Debug)]
+pub struct ShareBudget {
+    share: Percent,
+    burst: u64,
+    tokens_milli: u64,
+}
+
+impl ShareBudget {
+    /// Makes a full budget that holds at most `burst` extra attempts.
+    pub fn new(share: Percent, burst: u64) -> Self {
+        Self {
+            share,
+            burst,
+            tokens_milli: burst * MILLI,
+        }
+    }
+
+    /// Counts first attempts, which earn tokens.
+    pub fn earn(&mut self, attempts: u64) {
+        let earned = attempts * self.share.0 * MILLI / 100;
+        self.tokens_milli = (self.tokens_milli + earned).min(self.burst * MILLI);
+    }
+
+    /// Takes one token; returns whether there was one.
+    pub fn take(&mut self) -> bool {
+        if self.tokens_milli < MILLI {
+            return false;
+        }
+        self.tokens_milli -= MILLI;
+        true
+    }
+}
+
+/// Lets a number of events a second through, with bursts of a tenth of a second.
+#[derive(Clone, Copy, Debug)]
+pub struct RateBudget {
+    rate: Rate,
+    tokens_micro: u64,
+    filled_at: Time,
+}
+
+/// One token of a [`RateBudget`], in micro-tokens.
+const TOKEN_MICRO: u64 = 1_000_000;
+
+/// Seconds of the rate that a burst may take, as a divisor.
+const BURST_DIVISOR: u64 = 10;
+
+impl RateBudget {
+    /// Makes a full budget.
+    pub fn new(rate: Rate, now: Time) -> Self {
+        let mut budget = Self {
+            rate,
+            tokens_micro: 0,
+            filled_at: now,
+        };
+        budget.tokens_micro = budget.capacity();
+        budget
+    }
+
+    fn capacity(&self) -> u64 {
+        (self.rate.0 * TOKEN_MICRO / BURST_DIVISOR).max(TOKEN_MICRO)
+    }
+
+    /// Takes one token; returns whether there was one.
+    pub fn take(&mut self, now: Time) -> bool {
+        let elapsed_us = u64::try_from(now.since(self.filled_at).as_micros()).unwrap_or(u64::MAX);
+        let earned = elapsed_us.saturating_mul(self.rate.0);
+        self.tokens_micro = self
+            .tokens_micro
+            .saturating_add(earned)
+            .min(self.capacity());
+        self.filled_at = now;
+        if self.tokens_micro < TOKEN_MICRO {
+            return false;
+        }
+        self.tokens_micro -= TOKEN_MICRO;
+        true
+    }
+
+    /// Returns the time until a token is there, in microseconds.
+    pub fn wait_us(&self) -> u64 {
+        let missing = TOKEN_MICRO.saturating_sub(self.tokens_micro);
+        missing.div_ceil(self.rate.0.max(1))
+    }
+}
--- /dev/null
+++ b/crates/node/src/directory.rs
@@ -0,0 +1,259 @@
+//! The catalogue in force together with the published snapshots, compiled for the request path.
+
+use std::{cell::RefCell, collections::HashMap, rc::Rc};
+
+use base::{DataCentre, EntryName, Percent, ServiceName, ShardName, SnapshotId, UpstreamName};
+use cat::{Catalogue, Entry, Index};
+
+use crate::quantile::Quantile;
+
+/// Quantile of a shard's latency after which a hedge is sent, in thousandths.
+const HEDGE_QUANTILE_PERMILLE: u64 = 950;
+
+/// Dense number of an upstream; it stays the same for the life of the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct UpstreamId(pub u32);
+
+impl UpstreamId {
+    /// Returns the number as an index.
+    pub fn index(self) -> usize {
+        self.0 as usize
+    }
+}
+
+/// Gives each upstream name its number.
+#[derive(Debug, Default)]
+pub struct Names {
+    ids: HashMap<UpstreamName, UpstreamId>,
+    names: Vec<UpstreamName>,
+}
+
+impl Names {
+    /// Returns the number of a name, a new one if need be.
+    pub fn intern(&mut self, name: &UpstreamName) -> UpstreamId {
+        if let Some(&id) = self.ids.get(name) {
+            return id;
+        }
+        let id = UpstreamId(u32::try_from(self.names.len()).unwrap_or(u32::MAX));
+        self.names.push(name.clone());
+        self.ids.insert(name.clone(), id);
+        id
+    }
+
+    /// Returns the number of a name that is known.
+    pub fn get(&self, name: &UpstreamName) -> Option<UpstreamId> {
+        self.ids.get(name).copied()
+    }
+
+    /// Returns the name of a number.
+    pub fn name(&self, id: UpstreamId) -> &UpstreamName {
+        &self.names[id.index()]
+    }
+
+    /// Returns how many names there are.
+    pub fn len(&self) -> usize {
+        self.names.len()
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.names.is_empty()
+    }
+}
+
+/// One shard of a snapshot.
+#[derive(Debug)]
+pub struct ShardPlan {
+    /// Name of the shard.
+    pub name: ShardName,
+    /// Upstreams that hold it.
+    pub replicas: Vec<UpstreamId>,
+    /// Latency of the shard, kept across snapshots.
+    pub latency: Rc<RefCell<Quantile>>,
+}
+
+/// One snapshot of a service.
+#[derive(Debug)]
+pub struct SnapshotPlan {
+    /// Version of the index.
+    pub id: SnapshotId,
+    /// All shards of this version.
+    pub shards: Vec<ShardPlan>,
+}
+
+/// One service.
+#[derive(Debug)]
+pub struct ServicePlan {
+    /// Name of the service.
+    pub name: ServiceName,
+    /// Upstreams of the service.
+    pub upstreams: Vec<UpstreamId>,
+    /// Snapshots, newest first.
+    pub snapshots: Vec<Rc<SnapshotPlan>>,
+    /// Latency over all shards, for shards without enough samples.
+    pub latency: RefCell<Quantile>,
+}
+
+/// One entry with its service.
+#[derive(Debug)]
+pub struct EntryPlan {
+    /// The declaration.
+    pub entry: Entry,
+    /// The service that answers.
+    pub service: Rc<ServicePlan>,
+}
+
+/// What an upstream's declaration says.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Declared {
+    /// Its number.
+    pub id: UpstreamId,
+    /// Address that accepts HTTP/1.1.
+    pub address: std::net::SocketAddr,
+    /// Data centre that it is in.
+    pub data_centre: DataCentre,
+    /// Service that it belongs to.
+    pub service: ServiceName,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+}
+
+/// Entries and services in force.
+#[derive(Debug, Default)]
+pub struct Directory {
+    names: Names,
+    entries: HashMap<EntryName, Rc<EntryPlan>>,
+    services: HashMap<ServiceName, Rc<ServicePlan>>,
+    latencies: HashMap<(ServiceName, ShardName), Rc<RefCell<Quantile>>>,
+}
+
+impl Directory {
+    /// Returns the entry that a caller names.
+    pub fn entry(&self, name: &EntryName) -> Option<&Rc<EntryPlan>> {
+        self.entries.get(name)
+    }
+
+    /// Returns all entries.
+    pub fn entries(&self) -> impl Iterator<Item = &Rc<EntryPlan>> {
+        self.entries.values()
+    }
+
+    /// Returns a service.
+    pub fn service(&self, name: &ServiceName) -> Option<&Rc<ServicePlan>> {
+        self.services.get(name)
+    }
+
+    /// Returns the numbers of upstream names.
+    pub fn names(&self) -> &Names {
+        &self.names
+    }
+
+    /// Replaces what is in force; returns the declarations of all upstreams.
+    ///
+    /// Queries in hand keep the plans that they hold.
+    pub fn rebuild<'a>(
+        &mut self,
+        catalogue: &Catalogue,
+        mut index: impl FnMut(&ServiceName) -> Option<&'a Index>,
+    ) -> Vec<Declared> {
+        let mut declared = Vec::new();
+        let mut services = HashMap::new();
+        for service in &catalogue.services {
+            let upstreams = self.declare(service, &mut declared);
+            let snapshots = match index(&service.name) {
+                Some(index) => self.plan_snapshots(index),
+                None => Vec::new(),
+            };
+            let latency = match self.services.get(&service.name) {
+                Some(old) => *old.latency.borrow(),
+                None => Quantile::new(HEDGE_QUANTILE_PERMILLE),
+            };
+            let plan = ServicePlan {
+                name: service.name.clone(),
+                upstreams,
+                snapshots,
+                latency: RefCell::new(latency),
+            };
+            services.insert(service.name.clone(), Rc::new(plan));
+        }
+        self.services = services;
+        self.entries = self.plan_entries(catalogue);
+        self.forget_latencies();
+        declared
+    }
+
+    fn declare(&mut self, service: &cat::Service, out: &mut Vec<Declared>) -> Vec<UpstreamId> {
+        let first = out.len();
+        for upstream in &service.upstreams {
+            out.push(Declared {
+                id: self.names.intern(&upstream.name),
+                address: upstream.address,
+                data_centre: upstream.data_centre.clone(),
+                service: service.name.clone(),
+                slots: service.slots,
+                connections: service.connections,
+            });
+        }
+        out[first..].iter().map(|d| d.id).collect()
+    }
+
+    fn plan_snapshots(&mut self, index: &Index) -> Vec<Rc<SnapshotPlan>> {
+        let mut plans = Vec::new();
+        for snapshot in index.snapshots.iter().rev() {
+            let shards = snapshot
+                .shards
+                .iter()
+                .map(|s| self.plan_shard(&index.service, s))
+                .collect();
+            plans.push(Rc::new(SnapshotPlan {
+                id: snapshot.id,
+                shards,
+            }));
+        }
+        plans
+    }
+
+    fn plan_shard(&mut self, service: &ServiceName, shard: &cat::Shard) -> ShardPlan {
+        let replicas = shard
+            .replicas
+            .iter()
+            .map(|name| self.names.intern(name))
+            .collect();
+        let latency = self
+            .latencies
+            .entry((service.clone(), shard.name.clone()))
+            .or_insert_with(|| Rc::new(RefCell::new(Quantile::new(HEDGE_QUANTILE_PERMILLE))));
+        ShardPlan {
+            name: shard.name.clone(),
+            replicas,
+            latency: Rc::clone(latency),
+        }
+    }
+
+    fn plan_entries(&self, catalogue: &Catalogue) -> HashMap<EntryName, Rc<EntryPlan>> {
+        let mut entries = HashMap::new();
+        for entry in &catalogue.entries {
+            let Some(service) = self.services.get(&entry.service) else {
+                continue;
+            };
+            let mut entry = entry.clone();
+            if entry.class == cat::Class::Once {
+                entry.limits.hedge = Percent(0);
+            }
+            let plan = EntryPlan {
+                entry,
+                service: Rc::clone(service),
+            };
+            entries.insert(plan.entry.name.clone(), Rc::new(plan));
+        }
+        entries
+    }
+
+    /// Drops the latencies of shards that no snapshot has any more.
+    fn forget_latencies(&mut self) {
+        self.latencies
+            .retain(|_, latency| Rc::strong_count(latency) > 1);
+    }
+}
--- /dev/null
+++ b/crates/node/src/dispatch.rs
@@ -0,0 +1,145 @@
+//! Attempts on their way to an upstream: slots, queues and cancellation.
+
+use std::time::Duration;
+
+use base::Time;
+
+use crate::{
+    attempt::{Attempt, AttemptKey, Origin, Stage},
+    directory::UpstreamId,
+    effect::{Effect, Send},
+    node::Node,
+    protocol::SubRequest,
+};
+
+/// Longest time that an attempt may be in flight, in addition to its deadline.
+///
+/// The pool reports the attempt as timed out then, and its slot is free again.
+const SEND_GRACE: Duration = Duration::from_millis(2);
+
+/// What became of an attempt that was handed in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Dispatched {
+    /// It is on its way, or waits for a slot.
+    Accepted,
+    /// It would wait longer than it has time, or the upstream takes no new work.
+    Rejected,
+}
+
+impl Node {
+    /// Sends an attempt, or queues it until a slot of its upstream is free.
+    pub(crate) fn dispatch(
+        &mut self,
+        now: Time,
+        attempt: Attempt,
+        effects: &mut Vec<Effect>,
+    ) -> (AttemptKey, Dispatched) {
+        let id = attempt.upstream;
+        let deadline = attempt.deadline;
+        let key = self.insert_attempt(attempt);
+        let Some(upstream) = self.upstreams.get_mut(id) else {
+            return (key, Dispatched::Rejected);
+        };
+        if upstream.is_leaving(now) {
+            return (key, Dispatched::Rejected);
+        }
+        if upstream.in_use >= upstream.declared.slots {
+            if now + upstream.expected_wait() > deadline {
+                return (key, Dispatched::Rejected);
+            }
+            upstream.queue.push_back(key);
+            return (key, Dispatched::Accepted);
+        }
+        self.transmit(now, key, effects);
+        (key, Dispatched::Accepted)
+    }
+
+    /// Files an attempt; a sub-request of this instance's own carries the attempt's number.
+    pub(crate) fn insert_attempt(&mut self, mut attempt: Attempt) -> AttemptKey {
+        self.attempts.insert_with_key(|key| {
+            let own = matches!(attempt.origin, Origin::Search { .. });
+            if let (true, Some(SubRequest::Search { echo, .. })) = (own, &mut attempt.sub) {
+                echo.attempt = key.id().0;
+            }
+            attempt
+        })
+    }
+
+    /// Hands an attempt to the connection pool; it holds a slot from now on.
+    fn transmit(&mut self, now: Time, key: AttemptKey, effects: &mut Vec<Effect>) {
+        let Some(attempt) = self.attempts.get_mut(key) else {
+            return;
+        };
+        let Some(upstream) = self.upstreams.get_mut(attempt.upstream) else {
+            return;
+        };
+        let Some(sub) = attempt.sub.take() else {
+            return;
+        };
+        attempt.stage = Stage::Sent;
+        attempt.sent = now;
+        upstream.in_use += 1;
+        self.stats.attempts_in_flight += 1;
+        effects.push(Effect::Send(Send {
+            attempt: key.id(),
+            address: upstream.declared.address,
+            connections: upstream.declared.connections,
+            timeout: attempt.deadline.since(now) + SEND_GRACE,
+            sub,
+        }));
+    }
+
+    /// Frees the slot of an attempt that has ended at its upstream, and starts the next one.
+    pub(crate) fn free_slot(&mut self, now: Time, id: UpstreamId, effects: &mut Vec<Effect>) {
+        self.stats.attempts_in_flight = self.stats.attempts_in_flight.saturating_sub(1);
+        if let Some(upstream) = self.upstreams.get_mut(id) {
+            upstream.in_use = upstream.in_use.saturating_sub(1);
+        }
+        self.pump(now, id, effects);
+    }
+
+    /// Starts queued attempts while the upstream has free slots.
+    pub(crate) fn pump(&mut self, now: Time, id: UpstreamId, effects: &mut Vec<Effect>) {
+        loop {
+            let Some(upstream) = self.upstreams.get_mut(id) else {
+                return;
+            };
+            if upstream.in_use >= upstream.declared.slots {
+                return;
+            }
+            let Some(key) = upstream.queue.pop_front() else {
+                return;
+            };
+            let wanted = self
+                .attempts
+                .get(key)
+                .is_some_and(|a| a.stage == Stage::Queued && a.deadline > now);
+            if wanted {
+                self.transmit(now, key, effects);
+            }
+        }
+    }
+
+    /// Abandons an attempt wherever it is.
+    pub(crate) fn cancel(&mut self, key: AttemptKey, effects: &mut Vec<Effect>) {
+        let Some(attempt) = self.attempts.get_mut(key) else {
+            return;
+        };
+        match attempt.stage {
+            Stage::Queued => {
+                self.attempts.remove(key);
+            }
+            Stage::Sent => {
+                attempt.stage = Stage::Cancelled;
+                self.stats.cancelled += 1;
+                effects.push(Effect::Cancel(key.id()));
+            }
+            Stage::Relayed(_) => {
+                self.stats.cancelled += 1;
+                self.cancel_relayed(key);
+                self.attempts.remove(key);
+            }
+            Stage::Cancelled => {}
+        }
+    }
+}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -107,11 +107,13 @@
 pub enum Failure {
     /// No connection was made; no byte of the request was handed to a socket.
     Connect,
-    /// The connection broke after bytes of the request may have left.
+    /// The upstream closed the connection after bytes of the request may have left.
     Broken,
+    /// No reply came in time; bytes of the request may have left.
+    TimedOut,
     /// The reply was not valid, or its identity was another request's.
     Malformed,
-    /// The attempt was cancelled.
+    /// The attempt was cancelled, and its connection is free or closed.
     Cancelled,
 }
 
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -3,16 +3,30 @@
 //! [`Node::on`] takes one [`Event`] with its time and appends [`Effect`]s. It does no I/O, reads no
 //! clock and draws random numbers only from its seed, so a run is replayed from its events.
 
+pub mod admission;
+pub mod attempt;
+pub mod budget;
+pub mod directory;
+mod dispatch;
 pub mod effect;
 pub mod event;
 pub mod node;
 pub mod object;
 pub mod protocol;
+pub mod quantile;
+pub mod quarantine;
+pub mod query;
+mod relay;
+mod replies;
+mod run;
+mod search;
 pub mod stats;
+pub mod timers;
+pub mod upstreams;
 
 pub use effect::{Answer, Coverage, Effect, Found, PlatformOp, Reason, Refusal, Send};
 pub use event::{Call, Event, Failure, PlatformEvent, Reply, UpstreamEvent};
-pub use node::Node;
+pub use node::{Identity, Node};
 pub use object::{Kind, Object};
 pub use protocol::{Echo, Hit, SubRequest};
 pub use stats::Stats;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,24 +1,137 @@
-//! The reducer itself.
+//! The reducer itself: state, and the one place where events are told apart.
 
-use base::Time;
+use base::{DataCentre, Incarnation, InstanceName, Time};
+use rand::{SeedableRng, rngs::SmallRng};
+use slotmap::SlotMap;
 
-use crate::{effect::Effect, event::Event, stats::Stats};
+use crate::{
+    admission::Admission,
+    attempt::{Attempts, QueryKey},
+    directory::Directory,
+    effect::Effect,
+    event::{Call, Event},
+    quarantine::Quarantine,
+    query::Query,
+    search::NewSearch,
+    stats::Stats,
+    timers::Timers,
+    upstreams::Upstreams,
+};
+
+/// Who an instance is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of the instance.
+    pub instance: InstanceName,
+    /// Data centre that it is in.
+    pub data_centre: DataCentre,
+    /// Start count.
+    pub incarnation: Incarnation,
+}
+
+/// What a timer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Timer {
+    /// A search is answered with what it has.
+    Deadline(QueryKey),
+    /// The parts of a search are looked at.
+    Check(QueryKey),
+}
 
 /// State of one instance.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Node {
-    stats: Stats,
+    pub(crate) identity: Identity,
+    pub(crate) rng: SmallRng,
+    pub(crate) directory: Directory,
+    pub(crate) upstreams: Upstreams,
+    pub(crate) admission: Admission,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) queries: SlotMap<QueryKey, Query>,
+    pub(crate) attempts: Attempts,
+    pub(crate) timers: Timers<Timer>,
+    pub(crate) stats: Stats,
 }
 
 impl Node {
+    /// Makes an instance that knows nothing yet; `seed` decides its random choices.
+    pub fn new(identity: Identity, seed: u64) -> Self {
+        Self {
+            identity,
+            rng: SmallRng::seed_from_u64(seed),
+            directory: Directory::default(),
+            upstreams: Upstreams::default(),
+            admission: Admission::default(),
+            quarantine: Quarantine::default(),
+            queries: SlotMap::with_key(),
+            attempts: Attempts::with_key(),
+            timers: Timers::default(),
+            stats: Stats::default(),
+        }
+    }
+
     /// Takes one event at its time and appends what is to be done.
     pub fn on(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
-        let _ = (now, event, effects);
+        match event {
+            Event::Tick => {}
+            Event::Call(
+                call,
+                Call::Search {
+                    request,
+                    entry,
+                    deadline,
+                    body,
+                },
+            ) => {
+                self.search(
+                    now,
+                    call,
+                    NewSearch {
+                        request,
+                        entry,
+                        deadline,
+                        body,
+                    },
+                    effects,
+                );
+            }
+            Event::Call(
+                call,
+                Call::Run {
+                    request,
+                    entry,
+                    deadline,
+                    key,
+                    body,
+                },
+            ) => {
+                let _ = (call, request, entry, deadline, key, body);
+            }
+            Event::CallerGone(call) => self.drop_call(now, call, effects),
+            Event::Upstream(attempt, event) => self.on_upstream(now, attempt, event, effects),
+            Event::Platform(op, event) => {
+                let _ = (op, event);
+            }
+            Event::Peer(message) => {
+                let _ = message;
+            }
+            Event::Drain => self.stats.draining = true,
+        }
+        self.fire_timers(now, effects);
+    }
+
+    fn fire_timers(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        while let Some(timer) = self.timers.due(now) {
+            match timer {
+                Timer::Deadline(query) => self.finish(now, query, effects),
+                Timer::Check(query) => self.check_query(now, query, effects),
+            }
+        }
     }
 
     /// Returns the time at which the next [`Event::Tick`] is due, if any.
     pub fn next_wake(&self) -> Option<Time> {
-        None
+        self.timers.next()
     }
 
     /// Returns counts and gauges.
--- /dev/null
+++ b/crates/node/src/quarantine.rs
@@ -0,0 +1,138 @@
+//! Requests that break upstreams.
+//!
+//! A request is known by the digest of its service and body. Its first sub-request at an instance
+//! is a probe: the rest of the fan-out follows when the probe is answered. A digest whose
+//! sub-requests broke connections at two upstreams is quarantined for a bounded time.
+
+use std::{collections::HashMap, time::Duration};
+
+use base::{ServiceName, Time, UpstreamName};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+/// Upstreams that a request may break before it is quarantined.
+pub const MAX_BROKEN: usize = 2;
+
+/// How long a request stays in quarantine, and a first strike is remembered.
+pub const PERIOD: Duration = Duration::from_secs(60);
+
+/// Most digests with strikes that are remembered.
+const MAX_RECORDS: usize = 4_096;
+
+/// Most digests that are remembered as harmless, in each of two generations.
+const MAX_HARMLESS: usize = 32_768;
+
+/// Returns the digest of a request.
+pub fn fingerprint(service: &ServiceName, body: &[u8]) -> u64 {
+    xxh3_64_with_seed(body, xxh3_64(service.as_str().as_bytes()))
+}
+
+/// Strikes against one request.
+#[derive(Clone, Debug)]
+struct Record {
+    broke: Vec<UpstreamName>,
+    until: Time,
+}
+
+/// Strikes by digest, and digests known to be harmless.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    records: HashMap<u64, Record>,
+    harmless: HashMap<u64, ()>,
+    older_harmless: HashMap<u64, ()>,
+}
+
+impl Quarantine {
+    /// Returns how long the request is still in quarantine.
+    pub fn remaining(&self, now: Time, fingerprint: u64) -> Option<Duration> {
+        let record = self.records.get(&fingerprint)?;
+        let barred = record.broke.len() >= MAX_BROKEN && record.until > now;
+        barred.then(|| record.until.since(now))
+    }
+
+    /// Returns whether the request has been answered before and broke nothing since.
+    pub fn is_harmless(&self, fingerprint: u64) -> bool {
+        self.harmless.contains_key(&fingerprint) || self.older_harmless.contains_key(&fingerprint)
+    }
+
+    /// Returns whether the request has broken this upstream within the period.
+    pub fn has_broken(&self, now: Time, fingerprint: u64, upstream: &UpstreamName) -> bool {
+        self.records
+            .get(&fingerprint)
+            .is_some_and(|r| r.until > now && r.broke.contains(upstream))
+    }
+
+    /// Records that an upstream answered the request.
+    pub fn answered(&mut self, fingerprint: u64) {
+        if self.harmless.contains_key(&fingerprint) {
+            return;
+        }
+        if self.harmless.len() >= MAX_HARMLESS {
+            self.older_harmless = std::mem::take(&mut self.harmless);
+        }
+        self.harmless.insert(fingerprint, ());
+    }
+
+    /// Records that the request broke an upstream; returns whether it is newly quarantined.
+    pub fn broke(&mut self, now: Time, fingerprint: u64, upstream: &UpstreamName) -> bool {
+        self.harmless.remove(&fingerprint);
+        self.older_harmless.remove(&fingerprint);
+        self.merge(now, fingerprint, std::slice::from_ref(upstream), PERIOD)
+    }
+
+    /// Takes a peer's record; returns whether the request is newly quarantined.
+    pub fn merge(
+        &mut self,
+        now: Time,
+        fingerprint: u64,
+        broke: &[UpstreamName],
+        kept: Duration,
+    ) -> bool {
+        if !self.records.contains_key(&fingerprint) && self.records.len() >= MAX_RECORDS {
+            self.expire(now);
+            if self.records.len() >= MAX_RECORDS {
+                return false;
+            }
+        }
+        let was_barred = self.remaining(now, fingerprint).is_some();
+        let record = self.records.entry(fingerprint).or_insert(Record {
+            broke: Vec::new(),
+            until: now,
+        });
+        if record.until <= now {
+            record.broke.clear();
+        }
+        record.until = record.until.max(now + kept.min(PERIOD));
+        for upstream in broke {
+            if !record.broke.contains(upstream) && record.broke.len() < MAX_BROKEN {
+                record.broke.push(upstream.clone());
+            }
+        }
+        !was_barred && self.remaining(now, fingerprint).is_some()
+    }
+
+    /// Forgets records whose time is over.
+    pub fn expire(&mut self, now: Time) {
+        self.records.retain(|_, r| r.until > now);
+    }
+
+    /// Returns the digests, the upstreams that they broke, and the time that is left.
+    pub fn records(&self, now: Time) -> impl Iterator<Item = (u64, &[UpstreamName], Duration)> {
+        self.records
+            .iter()
+            .filter(move |(_, r)| r.until > now)
+            .map(move |(&digest, r)| (digest, r.broke.as_slice(), r.until.since(now)))
+    }
+
+    /// Returns how many requests are in quarantine.
+    pub fn len(&self, now: Time) -> usize {
+        self.records
+            .values()
+            .filter(|r| r.until > now && r.broke.len() >= MAX_BROKEN)
+            .count()
+    }
+
+    /// Returns whether no request is in quarantine.
+    pub fn is_empty(&self, now: Time) -> bool {
+        self.len(now) == 0
+    }
+}
--- /dev/null
+++ b/crates/node/src/upstreams.rs
@@ -0,0 +1,270 @@
+//! What an instance knows of each upstream, and the choice of a replica.
+
+use std::{collections::VecDeque, time::Duration};
+
+use base::{DataCentre, SnapshotId, Time};
+use rand::{Rng, rngs::SmallRng};
+
+use crate::{
+    attempt::AttemptKey,
+    directory::{Declared, UpstreamId},
+};
+
+/// First pause after a failed connection.
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+
+/// Longest pause after failed connections.
+const MAX_BACKOFF: Duration = Duration::from_secs(5);
+
+/// How long an upstream's word that it lacks a snapshot is believed.
+const LACK_KEPT: Duration = Duration::from_secs(1);
+
+/// How long an upstream counts as leaving after the last sign of it.
+const LEAVING_KEPT: Duration = Duration::from_secs(60);
+
+/// Weight of the newest latency in the moving average, as a divisor.
+const LATENCY_WEIGHT: u64 = 8;
+
+/// Latency assumed of an upstream that has not replied yet, in microseconds.
+const UNKNOWN_LATENCY_US: u64 = 1_000;
+
+/// One upstream as this instance sees it.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Its declaration in the catalogue in force.
+    pub declared: Declared,
+    /// Attempts of this instance's own queries that have not ended.
+    pub outstanding: u32,
+    /// Slots that this instance has in use.
+    pub in_use: u32,
+    /// Attempts that wait for a slot, oldest first; ended ones are skipped.
+    pub queue: VecDeque<AttemptKey>,
+    latency_us: u64,
+    failures: u32,
+    down_until: Time,
+    leaving_until: Option<Time>,
+    leaving_since: Time,
+    lacks: Vec<(SnapshotId, Time)>,
+}
+
+impl Upstream {
+    /// Makes an upstream of which nothing is known but its declaration.
+    pub fn new(declared: Declared) -> Self {
+        Self {
+            declared,
+            outstanding: 0,
+            in_use: 0,
+            queue: VecDeque::new(),
+            latency_us: UNKNOWN_LATENCY_US,
+            failures: 0,
+            down_until: Time::ZERO,
+            leaving_until: None,
+            leaving_since: Time::ZERO,
+            lacks: Vec::new(),
+        }
+    }
+
+    /// Records a valid reply and the time it took.
+    pub fn succeeded(&mut self, took: Duration) {
+        self.failures = 0;
+        self.down_until = Time::ZERO;
+        let took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX);
+        let kept = self.latency_us - self.latency_us / LATENCY_WEIGHT;
+        self.latency_us = kept + took_us / LATENCY_WEIGHT;
+    }
+
+    /// Records a failure to connect or a broken connection; the upstream is avoided for a while.
+    pub fn failed(&mut self, now: Time) {
+        if self.down_until > now {
+            return;
+        }
+        let doublings = self.failures.min(16);
+        self.failures += 1;
+        self.down_until = now
+            + FIRST_BACKOFF
+                .saturating_mul(1 << doublings)
+                .min(MAX_BACKOFF);
+    }
+
+    /// Records that the upstream takes no new work; returns whether that is news.
+    ///
+    /// `age` is the time since the first sign.
+    pub fn leave(&mut self, now: Time, age: Duration) -> bool {
+        let news = !self.is_leaving(now);
+        if news {
+            self.leaving_since = now - age;
+        }
+        self.leaving_until = Some(now + LEAVING_KEPT);
+        news
+    }
+
+    /// Returns whether the upstream takes no new work.
+    pub fn is_leaving(&self, now: Time) -> bool {
+        self.leaving_until.is_some_and(|until| until > now)
+    }
+
+    /// Returns the time since the first sign that the upstream is leaving.
+    pub fn leaving_age(&self, now: Time) -> Option<Duration> {
+        self.is_leaving(now).then(|| now.since(self.leaving_since))
+    }
+
+    /// Returns whether recent connections failed.
+    pub fn is_down(&self, now: Time) -> bool {
+        self.down_until > now
+    }
+
+    /// Records that the upstream does not serve a snapshot.
+    pub fn lacks_snapshot(&mut self, now: Time, snapshot: SnapshotId) {
+        self.lacks
+            .retain(|&(id, until)| id != snapshot && until > now);
+        self.lacks.push((snapshot, now + LACK_KEPT));
+    }
+
+    /// Returns whether the upstream is known to serve no such snapshot.
+    pub fn is_lacking(&self, now: Time, snapshot: SnapshotId) -> bool {
+        self.lacks
+            .iter()
+            .any(|&(id, until)| id == snapshot && until > now)
+    }
+
+    /// Returns the expected wait of one more attempt, in microseconds, for comparison.
+    fn load(&self) -> u64 {
+        u64::from(self.outstanding + 1) * self.latency_us
+    }
+
+    /// Returns the expected wait for a slot at this instance.
+    pub fn expected_wait(&self) -> Duration {
+        let ahead = u64::try_from(self.queue.len()).unwrap_or(u64::MAX);
+        let slots = u64::from(self.declared.slots.max(1));
+        Duration::from_micros(ahead.saturating_mul(self.latency_us) / slots)
+    }
+}
+
+/// All upstreams by number.
+#[derive(Debug, Default)]
+pub struct Upstreams {
+    list: Vec<Option<Upstream>>,
+}
+
+/// What a choice of a replica must take into account.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Upstreams that hold the shard.
+    pub replicas: &'a [UpstreamId],
+    /// Snapshot that must be served.
+    pub snapshot: SnapshotId,
+    /// Data centre that is preferred.
+    pub home: &'a DataCentre,
+}
+
+impl Upstreams {
+    /// Returns an upstream that the catalogue in force declares.
+    pub fn get(&self, id: UpstreamId) -> Option<&Upstream> {
+        self.list.get(id.index())?.as_ref()
+    }
+
+    /// Returns an upstream that the catalogue in force declares.
+    pub fn get_mut(&mut self, id: UpstreamId) -> Option<&mut Upstream> {
+        self.list.get_mut(id.index())?.as_mut()
+    }
+
+    /// Returns all declared upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = &Upstream> {
+        self.list.iter().flatten()
+    }
+
+    /// Takes the declarations in force; what is known of upstreams that stay is kept.
+    pub fn declare(&mut self, declared: Vec<Declared>) {
+        let mut old = std::mem::take(&mut self.list);
+        for declared in declared {
+            let index = declared.id.index();
+            if self.list.len() <= index {
+                self.list.resize_with(index + 1, || None);
+            }
+            let known = old.get_mut(index).and_then(Option::take);
+            self.list[index] = Some(match known {
+                Some(known) => Upstream { declared, ..known },
+                None => Upstream::new(declared),
+            });
+        }
+    }
+
+    /// Returns whether an upstream can be asked for a snapshot now.
+    pub fn can_serve(&self, now: Time, id: UpstreamId, snapshot: SnapshotId) -> bool {
+        self.get(id)
+            .is_some_and(|u| !u.is_leaving(now) && !u.is_down(now) && !u.is_lacking(now, snapshot))
+    }
+
+    /// Returns whether an upstream may be asked once everything better has been.
+    fn may_serve(&self, now: Time, id: UpstreamId, snapshot: SnapshotId) -> bool {
+        self.get(id)
+            .is_some_and(|u| !u.is_leaving(now) && !u.is_lacking(now, snapshot))
+    }
+
+    /// Chooses the less loaded of two random candidates, from the home data centre if it has one.
+    ///
+    /// An upstream whose connections fail is chosen only when `desperate`.
+    pub fn choose(
+        &self,
+        now: Time,
+        wanted: Wanted<'_>,
+        desperate: bool,
+        skip: impl Fn(UpstreamId) -> bool,
+        rng: &mut SmallRng,
+    ) -> Option<UpstreamId> {
+        let usable = |id: &UpstreamId| !skip(*id) && self.can_serve(now, *id, wanted.snapshot);
+        let near = |id: &UpstreamId| {
+            self.get(*id)
+                .is_some_and(|u| u.declared.data_centre == *wanted.home)
+        };
+        let home = pick_two(
+            wanted
+                .replicas
+                .iter()
+                .copied()
+                .filter(|id| near(id) && usable(id)),
+            rng,
+        );
+        let candidates =
+            home.or_else(|| pick_two(wanted.replicas.iter().copied().filter(usable), rng));
+        match candidates {
+            Some((a, b)) => Some(self.less_loaded(a, b)),
+            None if desperate => wanted
+                .replicas
+                .iter()
+                .copied()
+                .filter(|id| !skip(*id) && self.may_serve(now, *id, wanted.snapshot))
+                .min_by_key(|id| self.get(*id).map(|u| u.down_until)),
+            None => None,
+        }
+    }
+
+    fn less_loaded(&self, a: UpstreamId, b: UpstreamId) -> UpstreamId {
+        let load = |id| self.get(id).map_or(u64::MAX, Upstream::load);
+        if load(b) < load(a) { b } else { a }
+    }
+}
+
+/// Picks two of the candidates at random; both are the same when there is only one.
+fn pick_two(
+    candidates: impl Iterator<Item = UpstreamId>,
+    rng: &mut SmallRng,
+) -> Option<(UpstreamId, UpstreamId)> {
+    let mut picked: [Option<UpstreamId>; 2] = [None, None];
+    for (seen, id) in candidates.enumerate() {
+        if seen < 2 {
+            picked[seen] = Some(id);
+            continue;
+        }
+        let place = rng.random_range(0..=seen);
+        if place < 2 {
+            picked[place] = Some(id);
+        }
+    }
+    match picked {
+        [Some(a), Some(b)] if rng.random() => Some((b, a)),
+        [Some(a), Some(b)] => Some((a, b)),
+        [Some(a), None] => Some((a, a)),
+        _ => None,
+    }
+}
