cat: read catalogue and settings with all findings and their places

Operators drive the system only through these documents, so a rejected one must name everything that is wrong with it at once. The operator's file and the canonical document of the platform go through one reader: neither accepts what the other rejects. The model loses its derived Deserialize, which would have let a stored document in without those checks.

base gains Span, a duration with its unit in text.

--- a/crates/base/src/lib.rs
+++ b/crates/base/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod id;
 pub mod size;
+pub mod span;
 pub mod time;
 
 pub use id::{
@@ -12,4 +13,5 @@
     RequestId, Revision, ServiceName, ShardName, SnapshotId, UpstreamName, Version,
 };
 pub use size::{ByteSize, Percent, Rate};
+pub use span::Span;
 pub use time::Time;
--- a/crates/base/src/size.rs
+++ b/crates/base/src/size.rs
@@ -8,7 +8,7 @@
 const KIB: u64 = 1 << 10;
 const MIB: u64 = 1 << 20;
 
-/// A text that is not a size, rate or share.
+/// A text that is not a size, rate, share or duration.
 #[derive(Debug, Snafu, Clone, PartialEq, Eq)]
 pub enum SizeError {
     /// The text has no number.
@@ -27,7 +27,7 @@
     },
 }
 
-fn split<'a>(text: &'a str, example: &'static str) -> Result<(u64, &'a str), SizeError> {
+pub(crate) fn split<'a>(text: &'a str, example: &'static str) -> Result<(u64, &'a str), SizeError> {
     let end = text
         .find(|c: char| !c.is_ascii_digit())
         .unwrap_or(text.len());
@@ -36,7 +36,7 @@
     Ok((number, unit.trim_start()))
 }
 
-fn unknown_unit(unit: &str, example: &'static str) -> SizeError {
+pub(crate) fn unknown_unit(unit: &str, example: &'static str) -> SizeError {
     SizeError::Unit {
         unit: unit.into(),
         example,
--- /dev/null
+++ b/crates/cat/src/catalogue.rs
@@ -0,0 +1,83 @@
+//! Reads a catalogue document.
+//!
+//! The same reader serves the operator's file and the canonical document of the platform, so
+//! that neither accepts what the other rejects.
+
+mod entry;
+mod service;
+
+pub use entry::{BODY, CONCURRENT, DEADLINE, HEDGE, MAX_OWNER_CHARS, RATE, RESULTS, RETRY};
+pub use service::{CONNECTIONS, SLOTS};
+
+use crate::{
+    find::Findings,
+    model::{Catalogue, Entry, Service},
+    read::{Cursor, Fields, Reader},
+};
+use service::Declared;
+
+/// Largest canonical document that the platform holds as one object, in bytes.
+pub const MAX_DOCUMENT_BYTES: usize = 1 << 20;
+
+/// Reads a catalogue from JSON with comments; `file` names the document in findings.
+///
+/// Services and entries are in the order of their names. The findings of a valid document are
+/// warnings.
+///
+/// # Errors
+///
+/// Returns everything that was found when at least one finding is an error.
+pub fn read(file: &str, text: &str) -> Result<(Catalogue, Findings), Findings> {
+    let reader = Reader::new(file, text);
+    let value = reader.parse();
+    let root = value.as_ref().map(|value| Cursor::root(&reader, value));
+    let catalogue = root.and_then(read_catalogue);
+    drop(value);
+    reader.finish(catalogue)
+}
+
+fn read_catalogue(root: Cursor<'_>) -> Option<Catalogue> {
+    let fields = root.fields(&["services", "entries"])?;
+    let mut declared = Declared::default();
+    let services = read_services(&fields, &mut declared);
+    let entries = read_entries(&fields, &mut declared);
+    if entries.is_some() {
+        declared.report_unused(root.reader());
+    }
+    let catalogue = Catalogue {
+        services: services?,
+        entries: entries?,
+    };
+    check_size(&root, &catalogue);
+    Some(catalogue)
+}
+
+fn read_services<'r>(fields: &Fields<'r>, declared: &mut Declared<'r>) -> Option<Vec<Service>> {
+    let members = fields.require("services")?.members()?;
+    declared.readable = true;
+    let read: Vec<_> = members.iter().map(|m| service::read(m, declared)).collect();
+    let mut services = read.into_iter().collect::<Option<Vec<Service>>>()?;
+    services.sort_by(|a, b| a.name.cmp(&b.name));
+    Some(services)
+}
+
+fn read_entries<'r>(fields: &Fields<'r>, declared: &mut Declared<'r>) -> Option<Vec<Entry>> {
+    let value = fields.require("entries")?;
+    let members = value.members()?;
+    if members.is_empty() {
+        value.warning_hint("there are no entries", "every request will be refused");
+    }
+    let read: Vec<_> = members.iter().map(|m| entry::read(m, declared)).collect();
+    let mut entries = read.into_iter().collect::<Option<Vec<Entry>>>()?;
+    entries.sort_by(|a, b| a.name.cmp(&b.name));
+    Some(entries)
+}
+
+fn check_size(root: &Cursor<'_>, catalogue: &Catalogue) {
+    let size = catalogue.to_json().len();
+    if size > MAX_DOCUMENT_BYTES {
+        root.error(format!(
+            "the catalogue takes {size} bytes; the platform holds {MAX_DOCUMENT_BYTES} bytes"
+        ));
+    }
+}
--- a/crates/cat/src/lib.rs
+++ b/crates/cat/src/lib.rs
@@ -3,8 +3,15 @@
 //! A document is read in one pass that reports every finding with its place; a document with
 //! findings of severity *error* yields no value.
 
+pub mod catalogue;
+mod document;
+pub mod find;
 pub mod index;
 pub mod model;
+mod read;
+pub mod settings;
 
+pub use find::{Finding, Findings, Place, Severity};
 pub use index::{Index, Shard, Snapshot};
 pub use model::{Catalogue, Class, Entry, Limits, Service, Upstream};
+pub use settings::Settings;
--- a/crates/cat/src/model.rs
+++ b/crates/cat/src/model.rs
@@ -3,14 +3,15 @@
 use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
 
 use base::{ByteSize, DataCentre, EntryName, Percent, Rate, ServiceName, UpstreamName};
-use serde::{Deserialize, Serialize};
+
+use crate::read::Keyword;
 
 /// Everything that operators declare; one accepted revision is in force at a time.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Catalogue {
-    /// Services in the order in which they are declared.
+    /// Services, by name when read from a document.
     pub services: Vec<Service>,
-    /// Entries in the order in which they are declared.
+    /// Entries, by name when read from a document.
     pub entries: Vec<Entry>,
 }
 
@@ -27,7 +28,7 @@
 }
 
 /// A group of upstreams that serve the shards of one index.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Service {
     /// Name of the service.
     pub name: ServiceName,
@@ -40,7 +41,7 @@
 }
 
 /// One upstream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Upstream {
     /// Name, unique in the catalogue.
     pub name: UpstreamName,
@@ -51,7 +52,7 @@
 }
 
 /// What a caller may ask for: a service under an owner, a class and limits.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Entry {
     /// Name that callers use.
     pub name: EntryName,
@@ -66,8 +67,7 @@
 }
 
 /// What a late or missing shard costs, and whether a request may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
-#[serde(rename_all = "lowercase")]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Class {
     /// Answers by the deadline with the shards that arrived.
     Latency,
@@ -77,13 +77,28 @@
     Once,
 }
 
-impl fmt::Display for Class {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
+impl Class {
+    /// Returns the class as documents write it.
+    pub fn as_str(self) -> &'static str {
+        match self {
             Self::Latency => "latency",
             Self::Coverage => "coverage",
             Self::Once => "once",
-        })
+        }
+    }
+}
+
+impl Keyword for Class {
+    const ALL: &'static [Self] = &[Self::Latency, Self::Coverage, Self::Once];
+
+    fn as_str(self) -> &'static str {
+        self.as_str()
+    }
+}
+
+impl fmt::Display for Class {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
     }
 }
 
@@ -96,18 +111,15 @@
     type Err = ClassError;
 
     fn from_str(text: &str) -> Result<Self, ClassError> {
-        match text {
-            "latency" => Ok(Self::Latency),
-            "coverage" => Ok(Self::Coverage),
-            "once" => Ok(Self::Once),
-            _ => Err(ClassError),
-        }
+        let mut classes = Self::ALL.iter().copied();
+        classes
+            .find(|class| class.as_str() == text)
+            .ok_or(ClassError)
     }
 }
 
 /// Bounds on the use of one entry.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(default)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Limits {
     /// Longest time from a request's arrival to its answer.
     pub deadline: Duration,
@@ -138,3 +150,18 @@
         }
     }
 }
+
+impl Limits {
+    /// Returns the limits of an entry that declares none.
+    ///
+    /// An entry of the once class has no hedging: a second attempt may run the request twice.
+    pub fn of_class(class: Class) -> Self {
+        match class {
+            Class::Latency | Class::Coverage => Self::default(),
+            Class::Once => Self {
+                hedge: Percent(0),
+                ..Self::default()
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/cat/src/read/fields.rs
@@ -0,0 +1,49 @@
+//! An object with known keys.
+
+use super::{Cursor, Member};
+
+/// An object whose keys have been checked against the known ones.
+pub(crate) struct Fields<'r> {
+    object: Cursor<'r>,
+    members: Vec<Member<'r>>,
+}
+
+impl<'r> Fields<'r> {
+    pub(super) fn new(object: Cursor<'r>, members: Vec<Member<'r>>) -> Self {
+        Self { object, members }
+    }
+
+    /// Returns the value under a key.
+    pub(crate) fn get(&self, key: &str) -> Option<Cursor<'r>> {
+        self.members.iter().find(|m| m.name == key).map(|m| m.value)
+    }
+
+    /// Returns the value under a key; reports a missing key.
+    pub(crate) fn require(&self, key: &str) -> Option<Cursor<'r>> {
+        let found = self.get(key);
+        if found.is_none() {
+            self.object.error(format!("missing key {key:?}"));
+        }
+        found
+    }
+
+    /// Reads the value under a key, or takes the default when the key is absent.
+    ///
+    /// Returns `None` when the value is there but faulty.
+    pub(crate) fn read_or<T>(
+        &self,
+        key: &str,
+        default: T,
+        read: impl FnOnce(Cursor<'r>) -> Option<T>,
+    ) -> Option<T> {
+        match self.get(key) {
+            Some(value) => read(value),
+            None => Some(default),
+        }
+    }
+
+    /// Points at the value under a key, or at the object when the key is absent.
+    pub(crate) fn at(&self, key: &str) -> Cursor<'r> {
+        self.get(key).unwrap_or(self.object)
+    }
+}
