Add the store of watched objects and its upkeep

Pages of the platform and of peers may come late, twice or in any order, so a page names the version it starts from and the catalogue is ordered by revision. Instances that do not watch the platform keep a pull waiting at a watcher: news then costs one answer and no polling.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod object;
 pub mod protocol;
 pub mod stats;
+pub mod store;
 
 pub use effect::{Answer, Coverage, Effect, Found, PlatformOp, Reason, Refusal, Send};
 pub use event::{Call, Event, Failure, PlatformEvent, Reply, UpstreamEvent};
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -58,7 +58,7 @@
     /// Count of the heartbeats that the sender has sent.
     #[prost(uint64, tag = "3")]
     pub sequence: u64,
-    /// Greatest platform version up to which the sender holds every watched object.
+    /// Greatest version of a watched object that the sender holds with all before it.
     #[prost(uint64, tag = "4")]
     pub seen: u64,
     /// Whether the sender is shutting down.
@@ -126,6 +126,12 @@
     /// Version up to which the sender holds every watched object.
     #[prost(uint64, tag = "1")]
     pub after: u64,
+    /// Time that the receiver may wait for news before it answers, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub wait_ms: u64,
+    /// Digests of documents that the sender lacks, whatever their version.
+    #[prost(string, repeated, tag = "3")]
+    pub documents: Vec<String>,
 }
 
 /// Platform objects newer than a version.
@@ -137,6 +143,9 @@
     /// Version up to which the receiver is complete once it holds the objects.
     #[prost(uint64, tag = "2")]
     pub seen: u64,
+    /// Version that the pull named; `seen` holds only for a receiver complete up to it.
+    #[prost(uint64, tag = "3")]
+    pub after: u64,
 }
 
 /// One platform object.
