--- /dev/null
+++ b/crates/node/src/config.rs
@@ -0,0 +1,103 @@
+//! The catalogue, the snapshots and the liveness lists that are in force.
+
+use std::time::Duration;
+
+use base::{OpId, ServiceName, Time};
+
+use crate::{
+    effect::Effect,
+    event::PlatformEvent,
+    node::Node,
+    store::{Change, Cx, PeerNews, Peers},
+};
+
+/// Membership of an instance without peers, which watches the platform itself.
+struct Alone;
+
+impl Peers for Alone {
+    fn news(&self) -> impl Iterator<Item = PeerNews<'_>> {
+        std::iter::empty()
+    }
+
+    fn watches(&self) -> bool {
+        true
+    }
+}
+
+impl Node {
+    /// Takes the platform's answer to a call of this instance.
+    pub(crate) fn on_platform(
+        &mut self,
+        now: Time,
+        op: OpId,
+        event: PlatformEvent,
+        effects: &mut Vec<Effect>,
+    ) {
+        let mut cx = Cx {
+            now,
+            ops: &mut self.ops,
+            effects,
+        };
+        let changes = self.sync.on_platform(&mut cx, op, &event, &mut self.store);
+        self.take_changes(now, changes.unwrap_or_default(), effects);
+    }
+
+    /// Keeps the watched objects up to date.
+    pub(crate) fn poll_sync(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let mut cx = Cx {
+            now,
+            ops: &mut self.ops,
+            effects,
+        };
+        self.sync.poll(&mut cx, &Alone, &self.store);
+        self.stats.ready = self.store.head().is_some() && self.sync.is_ready(now, &self.store);
+    }
+
+    /// Puts what changed in the store into force.
+    pub(crate) fn take_changes(
+        &mut self,
+        now: Time,
+        changes: Vec<Change>,
+        effects: &mut Vec<Effect>,
+    ) {
+        if changes.is_empty() {
+            return;
+        }
+        if changes.iter().any(|c| !matches!(c, Change::Liveness(_))) {
+            self.rebuild(now);
+        }
+        let services: Vec<ServiceName> = self.directory.services().cloned().collect();
+        for service in services {
+            self.take_liveness(now, &service, effects);
+        }
+    }
+
+    fn rebuild(&mut self, now: Time) {
+        let Some(head) = self.store.head().cloned() else {
+            return;
+        };
+        let store = &self.store;
+        let index = |service: &ServiceName| store.index(service).map(|index| &**index);
+        let declared = self.directory.rebuild(&head.catalogue, index);
+        self.upstreams.declare(declared);
+        let limits = head.catalogue.entries.iter().map(|e| (&e.name, &e.limits));
+        self.admission.declare(now, limits);
+        self.stats.revision = head.revision;
+    }
+
+    /// Takes the platform's list of the leaving upstreams of one service.
+    fn take_liveness(&mut self, now: Time, service: &ServiceName, effects: &mut Vec<Effect>) {
+        let Some(liveness) = self.store.liveness(service) else {
+            return;
+        };
+        let names = self.directory.names();
+        let leaving: Vec<_> = liveness
+            .leaving
+            .iter()
+            .filter_map(|name| names.get(name))
+            .collect();
+        for id in leaving {
+            self.upstream_leaving(now, id, Duration::ZERO, effects);
+        }
+    }
+}
--- a/crates/node/src/directory.rs
+++ b/crates/node/src/directory.rs
@@ -145,6 +145,11 @@
         self.services.get(name)
     }
 
+    /// Returns the names of all services.
+    pub fn services(&self) -> impl Iterator<Item = &ServiceName> {
+        self.services.keys()
+    }
+
     /// Returns the numbers of upstream names.
     pub fn names(&self) -> &Names {
         &self.names
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod budget;
+mod config;
 pub mod directory;
 mod dispatch;
 pub mod effect;
@@ -21,12 +22,13 @@
 mod run;
 mod search;
 pub mod stats;
+pub mod store;
 pub mod timers;
 pub mod upstreams;
 
 pub use effect::{Answer, Coverage, Effect, Found, PlatformOp, Reason, Refusal, Send};
 pub use event::{Call, Event, Failure, PlatformEvent, Reply, UpstreamEvent};
-pub use node::{Identity, Node};
+pub use node::{Config, Identity, Node};
 pub use object::{Kind, Object};
 pub use protocol::{Echo, Hit, SubRequest};
 pub use stats::Stats;
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,6 @@
 //! The reducer itself: state, and the one place where events are told apart.
 
-use base::{DataCentre, Incarnation, InstanceName, Time};
+use base::{DataCentre, Incarnation, InstanceName, OpId, Time};
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
@@ -14,6 +14,7 @@
     query::Query,
     search::NewSearch,
     stats::Stats,
+    store::{Store, Sync, SyncConfig},
     timers::Timers,
     upstreams::Upstreams,
 };
@@ -29,6 +30,13 @@
     pub incarnation: Incarnation,
 }
 
+/// Settings of the reducer.
+#[derive(Clone, Debug, Default)]
+pub struct Config {
+    /// Upkeep of the watched objects.
+    pub sync: SyncConfig,
+}
+
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Timer {
@@ -43,6 +51,9 @@
 pub struct Node {
     pub(crate) identity: Identity,
     pub(crate) rng: SmallRng,
+    pub(crate) ops: OpId,
+    pub(crate) store: Store,
+    pub(crate) sync: Sync,
     pub(crate) directory: Directory,
     pub(crate) upstreams: Upstreams,
     pub(crate) admission: Admission,
@@ -55,9 +66,13 @@
 
 impl Node {
     /// Makes an instance that knows nothing yet; `seed` decides its random choices.
-    pub fn new(identity: Identity, seed: u64) -> Self {
+    pub fn new(identity: Identity, cfg: Config, now: Time, seed: u64) -> Self {
+        let name = identity.instance.clone();
         Self {
             identity,
+            ops: OpId::default(),
+            store: Store::default(),
+            sync: Sync::new(cfg.sync, name, now),
             rng: SmallRng::seed_from_u64(seed),
             directory: Directory::default(),
             upstreams: Upstreams::default(),
@@ -72,6 +87,7 @@
 
     /// Takes one event at its time and appends what is to be done.
     pub fn on(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
+        let frequent = matches!(event, Event::Upstream(..) | Event::Call(..));
         match event {
             Event::Tick => {}
             Event::Call(
@@ -109,15 +125,16 @@
             }
             Event::CallerGone(call) => self.drop_call(now, call, effects),
             Event::Upstream(attempt, event) => self.on_upstream(now, attempt, event, effects),
-            Event::Platform(op, event) => {
-                let _ = (op, event);
-            }
+            Event::Platform(op, event) => self.on_platform(now, op, event, effects),
             Event::Peer(message) => {
                 let _ = message;
             }
             Event::Drain => self.stats.draining = true,
         }
         self.fire_timers(now, effects);
+        if !frequent {
+            self.poll_sync(now, effects);
+        }
     }
 
     fn fire_timers(&mut self, now: Time, effects: &mut Vec<Effect>) {
@@ -131,7 +148,10 @@
 
     /// Returns the time at which the next [`Event::Tick`] is due, if any.
     pub fn next_wake(&self) -> Option<Time> {
-        self.timers.next()
+        [self.timers.next(), self.sync.next_wake()]
+            .into_iter()
+            .flatten()
+            .min()
     }
 
     /// Returns counts and gauges.
