node: owners of upstreams, relayed sub-requests and probes of unknown requests

Two slots cannot be split among seventeen instances, so one instance of the data centre owns each upstream and the others relay to it. Ownership moves by handover. Membership is still a stub.

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -80,6 +80,8 @@
     pub fingerprint: u64,
     /// Whether it tries out a request that may break upstreams.
     pub probe: bool,
+    /// Times that it was relayed before it came to this instance.
+    pub hops: u32,
     /// The request, until it is sent.
     pub sub: Option<SubRequest>,
 }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -10,6 +10,7 @@
     effect::{Effect, Send},
     node::Node,
     protocol::SubRequest,
+    search::Ended,
 };
 
 /// Longest time that an attempt may be in flight, in addition to its deadline.
@@ -22,8 +23,8 @@
 pub(crate) enum Dispatched {
     /// It is on its way, or waits for a slot.
     Accepted,
-    /// It would wait longer than it has time, or the upstream takes no new work.
-    Rejected,
+    /// It was not sent, for the reason that is given.
+    Rejected(Ended),
 }
 
 impl Node {
@@ -34,24 +35,48 @@
         attempt: Attempt,
         effects: &mut Vec<Effect>,
     ) -> (AttemptKey, Dispatched) {
-        let id = attempt.upstream;
-        let deadline = attempt.deadline;
         let key = self.insert_attempt(attempt);
-        let Some(upstream) = self.upstreams.get_mut(id) else {
-            return (key, Dispatched::Rejected);
-        };
+        if let Err(ended) = self.check_dispatch(now, key) {
+            return (key, Dispatched::Rejected(ended));
+        }
+        if !self.waits_for_probe(key) {
+            self.enqueue(now, key, effects);
+        }
+        (key, Dispatched::Accepted)
+    }
+
+    /// Says why an attempt must not be sent to its upstream.
+    fn check_dispatch(&self, now: Time, key: AttemptKey) -> Result<(), Ended> {
+        let attempt = self.attempts.get(key).ok_or(Ended::NotSent)?;
+        let upstream = self.upstreams.get(attempt.upstream).ok_or(Ended::NotSent)?;
         if upstream.is_leaving(now) {
-            return (key, Dispatched::Rejected);
+            return Err(Ended::Leaving);
         }
-        if upstream.in_use >= upstream.declared.slots {
-            if now + upstream.expected_wait() > deadline {
-                return (key, Dispatched::Rejected);
-            }
+        let name = self.directory.names().name(attempt.upstream);
+        if self
+            .quarantine
+            .remaining(now, attempt.fingerprint)
+            .is_some()
+            || self.quarantine.has_broken(now, attempt.fingerprint, name)
+        {
+            return Err(Ended::Broke);
+        }
+        let full = upstream.in_use >= upstream.declared.slots;
+        if full && now + upstream.expected_wait() > attempt.deadline {
+            return Err(Ended::Overloaded);
+        }
+        Ok(())
+    }
+
+    /// Sends an attempt if a slot is free, and puts it in the queue if not.
+    pub(crate) fn enqueue(&mut self, now: Time, key: AttemptKey, effects: &mut Vec<Effect>) {
+        let Some(id) = self.attempts.get(key).map(|a| a.upstream) else {
+            return;
+        };
+        if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.queue.push_back(key);
-            return (key, Dispatched::Accepted);
         }
-        self.transmit(now, key, effects);
-        (key, Dispatched::Accepted)
+        self.pump(now, id, effects);
     }
 
     /// Files an attempt; a sub-request of this instance's own carries the attempt's number.
@@ -95,11 +120,15 @@
         if let Some(upstream) = self.upstreams.get_mut(id) {
             upstream.in_use = upstream.in_use.saturating_sub(1);
         }
+        self.release_upstream(id, effects);
         self.pump(now, id, effects);
     }
 
-    /// Starts queued attempts while the upstream has free slots.
+    /// Starts queued attempts while the upstream has free slots and this instance may use them.
     pub(crate) fn pump(&mut self, now: Time, id: UpstreamId, effects: &mut Vec<Effect>) {
+        if !self.owners.holds(id) || !self.is_view_fresh(now) {
+            return;
+        }
         loop {
             let Some(upstream) = self.upstreams.get_mut(id) else {
                 return;
@@ -121,13 +150,15 @@
     }
 
     /// Abandons an attempt wherever it is.
-    pub(crate) fn cancel(&mut self, key: AttemptKey, effects: &mut Vec<Effect>) {
+    pub(crate) fn cancel(&mut self, now: Time, key: AttemptKey, effects: &mut Vec<Effect>) {
         let Some(attempt) = self.attempts.get_mut(key) else {
             return;
         };
         match attempt.stage {
             Stage::Queued => {
-                self.attempts.remove(key);
+                if let Some(attempt) = self.attempts.remove(key) {
+                    self.probe_ended(now, key, &attempt, false, effects);
+                }
             }
             Stage::Sent => {
                 attempt.stage = Stage::Cancelled;
@@ -136,7 +167,7 @@
             }
             Stage::Relayed(_) => {
                 self.stats.cancelled += 1;
-                self.cancel_relayed(key);
+                self.cancel_relayed(now, key);
                 self.attempts.remove(key);
             }
             Stage::Cancelled => {}
--- a/crates/node/src/event.rs
+++ b/crates/node/src/event.rs
@@ -107,6 +107,8 @@
 pub enum Failure {
     /// No connection was made; no byte of the request was handed to a socket.
     Connect,
+    /// No instance was found that sends to the upstream; no byte was sent.
+    Unrouted,
     /// The upstream closed the connection after bytes of the request may have left.
     Broken,
     /// No reply came in time; bytes of the request may have left.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,17 +1,22 @@
 //! The reducer itself: state, and the one place where events are told apart.
 
+use std::collections::HashMap;
+
 use base::{DataCentre, Incarnation, InstanceName, OpId, Time};
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
 use crate::{
     admission::Admission,
-    attempt::{Attempts, QueryKey},
+    attempt::{AttemptKey, Attempts, QueryKey},
     directory::Directory,
     effect::Effect,
     event::{Call, Event},
+    owners::Owners,
+    probe::Probes,
     quarantine::Quarantine,
     query::Query,
+    relay::Outbox,
     search::NewSearch,
     stats::Stats,
     store::{Store, Sync, SyncConfig},
@@ -60,6 +65,11 @@
     pub(crate) quarantine: Quarantine,
     pub(crate) queries: SlotMap<QueryKey, Query>,
     pub(crate) attempts: Attempts,
+    pub(crate) probes: Probes,
+    pub(crate) owners: Owners,
+    pub(crate) outbox: Outbox,
+    /// Attempts made for peers, by the peer and its own number for the attempt.
+    pub(crate) relayed_in: HashMap<(InstanceName, u64), AttemptKey>,
     pub(crate) timers: Timers<Timer>,
     pub(crate) stats: Stats,
 }
@@ -68,6 +78,7 @@
     /// Makes an instance that knows nothing yet; `seed` decides its random choices.
     pub fn new(identity: Identity, cfg: Config, now: Time, seed: u64) -> Self {
         let name = identity.instance.clone();
+        let owners = Owners::new(name.clone());
         Self {
             identity,
             ops: OpId::default(),
@@ -80,6 +91,10 @@
             quarantine: Quarantine::default(),
             queries: SlotMap::with_key(),
             attempts: Attempts::with_key(),
+            probes: Probes::default(),
+            owners,
+            outbox: Outbox::default(),
+            relayed_in: HashMap::new(),
             timers: Timers::default(),
             stats: Stats::default(),
         }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -1,16 +1,36 @@
 //! Sub-requests that go through the instance which owns their upstream.
+//!
+//! Relays and results are collected while a batch of events is handled and sent when it is over,
+//! one message for each owner and search.
 
-use base::Time;
+use std::collections::BTreeMap;
+
+use base::{InstanceName, RequestId, SnapshotId, Time};
+use bytes::Bytes;
+use wire::{Body, Relay, RelayPart, RelayResult, Relayed, ResultCode};
 
 use crate::{
-    attempt::{Attempt, AttemptKey},
+    attempt::{Attempt, AttemptKey, Origin, Stage},
     dispatch::Dispatched,
     effect::Effect,
-    event::UpstreamEvent,
+    event::{Failure, Reply, UpstreamEvent},
     node::Node,
+    protocol::{Echo, Hit, SubRequest},
+    quarantine::fingerprint,
     search::Ended,
 };
 
+/// Times that a sub-request may be relayed: to the data centre of the upstream, and to its owner.
+const MAX_HOPS: u32 = 2;
+
+/// Messages to peers that are collected during a batch of events.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    relays: BTreeMap<(InstanceName, RequestId, SnapshotId, u32), Relay>,
+    results: BTreeMap<InstanceName, Vec<RelayResult>>,
+    cancels: BTreeMap<InstanceName, Vec<u64>>,
+}
+
 impl Node {
     /// Sends an attempt to its upstream, or to the instance that owns the upstream.
     pub(crate) fn route(
@@ -19,18 +39,378 @@
         attempt: Attempt,
         effects: &mut Vec<Effect>,
     ) -> (AttemptKey, Dispatched) {
-        self.dispatch(now, attempt, effects)
+        if self.owners.queues(attempt.upstream) {
+            return self.dispatch(now, attempt, effects);
+        }
+        let peer = self
+            .next_hop(attempt.upstream)
+            .filter(|_| attempt.hops < MAX_HOPS);
+        let key = self.insert_attempt(attempt);
+        let Some(peer) = peer else {
+            return (key, Dispatched::Rejected(Ended::NotSent));
+        };
+        self.relay(now, key, peer);
+        (key, Dispatched::Accepted)
+    }
+
+    fn relay(&mut self, now: Time, key: AttemptKey, peer: InstanceName) {
+        let Some(attempt) = self.attempts.get_mut(key) else {
+            return;
+        };
+        let Some(SubRequest::Search { echo, limit, body }) = attempt.sub.take() else {
+            return;
+        };
+        let part = RelayPart {
+            attempt: key.id().0,
+            upstream: self.directory.names().name(attempt.upstream).to_string(),
+            shard: echo.shard.to_string(),
+            probe: attempt.probe,
+            echo: echo.attempt,
+        };
+        attempt.stage = Stage::Relayed(peer.clone());
+        attempt.sent = now;
+        let hops = attempt.hops + 1;
+        let left = attempt.deadline.since(now);
+        let service = self
+            .upstreams
+            .get(attempt.upstream)
+            .map(|u| u.declared.service.to_string());
+        let relay = self
+            .outbox
+            .relays
+            .entry((peer, echo.request, echo.snapshot, hops))
+            .or_insert_with(|| Relay {
+                request: Bytes::copy_from_slice(&echo.request.0.to_be_bytes()),
+                service: service.unwrap_or_default(),
+                snapshot: echo.snapshot.0,
+                left_us: u64::try_from(left.as_micros()).unwrap_or(u64::MAX),
+                limit,
+                body,
+                parts: Vec::new(),
+                hops,
+            });
+        relay.parts.push(part);
+        self.stats.relayed += 1;
+    }
+
+    /// Takes sub-requests that a peer relayed to this instance.
+    pub(crate) fn on_relay(
+        &mut self,
+        now: Time,
+        from: &InstanceName,
+        relay: Relay,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(request) = read_request(&relay.request) else {
+            return self.bad_message(from, "a relay without a request id", effects);
+        };
+        let Ok(service) = relay.service.parse() else {
+            return self.bad_message(from, "a relay without a service", effects);
+        };
+        let fingerprint = fingerprint(&service, &relay.body);
+        let deadline = now + std::time::Duration::from_micros(relay.left_us);
+        for part in relay.parts {
+            let upstream = part
+                .upstream
+                .parse()
+                .ok()
+                .and_then(|n| self.directory.names().get(&n));
+            let (Some(upstream), Ok(shard)) = (upstream, part.shard.parse()) else {
+                self.reply_to(from, refusal(part.attempt, ResultCode::Unrouted));
+                continue;
+            };
+            let echo = Echo {
+                request,
+                attempt: part.echo,
+                snapshot: SnapshotId(relay.snapshot),
+                shard,
+            };
+            let attempt = Attempt {
+                origin: Origin::Peer {
+                    from: from.clone(),
+                    attempt: part.attempt,
+                },
+                upstream,
+                started: now,
+                sent: now,
+                deadline,
+                stage: Stage::Queued,
+                fingerprint,
+                probe: part.probe,
+                hops: relay.hops,
+                sub: Some(SubRequest::Search {
+                    echo,
+                    limit: relay.limit,
+                    body: relay.body.clone(),
+                }),
+            };
+            self.stats.served_for_peers += 1;
+            let (key, dispatched) = self.route(now, attempt, effects);
+            match dispatched {
+                Dispatched::Accepted => {
+                    self.relayed_in.insert((from.clone(), part.attempt), key);
+                }
+                Dispatched::Rejected(ended) => self.queued_ended(now, key, ended, effects),
+            }
+        }
+    }
+
+    /// Takes results of sub-requests that this instance relayed.
+    pub(crate) fn on_relayed(
+        &mut self,
+        now: Time,
+        from: &InstanceName,
+        relayed: Relayed,
+        effects: &mut Vec<Effect>,
+    ) {
+        for result in relayed.results {
+            let key = AttemptKey::from_id(base::AttemptId(result.attempt));
+            let expected = self
+                .attempts
+                .get(key)
+                .is_some_and(|a| matches!(&a.stage, Stage::Relayed(peer) if peer == from));
+            if !expected {
+                self.stats.discarded += 1;
+                continue;
+            }
+            match read_result(result) {
+                Some((event, queued)) => self.on_result(now, key, event, queued, effects),
+                None => {
+                    self.bad_message(from, "a result that cannot be read", effects);
+                    self.on_result(
+                        now,
+                        key,
+                        UpstreamEvent::Failed(Failure::Malformed),
+                        std::time::Duration::ZERO,
+                        effects,
+                    );
+                }
+            }
+        }
     }
 
-    pub(crate) fn cancel_relayed(&mut self, key: AttemptKey) {
-        let _ = key;
+    fn on_result(
+        &mut self,
+        now: Time,
+        key: AttemptKey,
+        event: UpstreamEvent,
+        queued: std::time::Duration,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(mut attempt) = self.attempts.remove(key) else {
+            return;
+        };
+        // The owner's wait for a slot counts as this attempt's wait.
+        attempt.sent = attempt.started + queued;
+        self.learn(now, &attempt, &event, effects);
+        self.conclude(now, key, &attempt, event, effects);
     }
 
-    pub(crate) fn relay_result(&mut self, now: Time, attempt: &Attempt, event: UpstreamEvent) {
-        let _ = (now, attempt, event);
+    /// Tells a peer how its sub-request ended.
+    pub(crate) fn relay_result(&mut self, attempt: &Attempt, event: UpstreamEvent) {
+        let Origin::Peer {
+            from,
+            attempt: number,
+        } = &attempt.origin
+        else {
+            return;
+        };
+        let queued = attempt.sent.since(attempt.started);
+        let result = RelayResult {
+            queued_us: u64::try_from(queued.as_micros()).unwrap_or(u64::MAX),
+            ..write_result(*number, event)
+        };
+        self.relayed_in.remove(&(from.clone(), *number));
+        self.reply_to(from, result);
     }
 
+    /// Tells a peer that its sub-request was not sent to the upstream.
     pub(crate) fn relay_refused(&mut self, attempt: &Attempt, ended: Ended) {
-        let _ = (attempt, ended);
+        let Origin::Peer {
+            from,
+            attempt: number,
+        } = &attempt.origin
+        else {
+            return;
+        };
+        let code = match ended {
+            Ended::Leaving => ResultCode::Leaving,
+            Ended::Overloaded => ResultCode::Overloaded,
+            Ended::Broke => ResultCode::Broke,
+            Ended::NotSent | Ended::NoSnapshot | Ended::Invalid => ResultCode::Unrouted,
+        };
+        self.relayed_in.remove(&(from.clone(), *number));
+        self.reply_to(from, refusal(*number, code));
     }
+
+    fn reply_to(&mut self, peer: &InstanceName, result: RelayResult) {
+        match self.outbox.results.get_mut(peer) {
+            Some(results) => results.push(result),
+            None => {
+                self.outbox.results.insert(peer.clone(), vec![result]);
+            }
+        }
+    }
+
+    /// Notes that a relayed attempt is of no more use to this instance.
+    pub(crate) fn cancel_relayed(&mut self, now: Time, key: AttemptKey) {
+        self.note_silence(now, key);
+        let Some(Stage::Relayed(peer)) = self.attempts.get(key).map(|a| a.stage.clone()) else {
+            return;
+        };
+        self.outbox
+            .cancels
+            .entry(peer)
+            .or_default()
+            .push(key.id().0);
+    }
+
+    /// Abandons sub-requests that a peer has no more use for.
+    pub(crate) fn on_cancel(
+        &mut self,
+        now: Time,
+        from: &InstanceName,
+        numbers: Vec<u64>,
+        effects: &mut Vec<Effect>,
+    ) {
+        for number in numbers {
+            if let Some(key) = self.relayed_in.remove(&(from.clone(), number)) {
+                self.cancel(now, key, effects);
+            }
+        }
+    }
+
+    /// Ends the attempts that were relayed to a member which is gone.
+    pub(crate) fn fail_relayed_to(
+        &mut self,
+        now: Time,
+        peer: &InstanceName,
+        effects: &mut Vec<Effect>,
+    ) {
+        let lost: Vec<AttemptKey> = self
+            .attempts
+            .iter()
+            .filter(|(_, a)| matches!(&a.stage, Stage::Relayed(to) if to == peer))
+            .map(|(key, _)| key)
+            .collect();
+        for key in lost {
+            self.queued_ended(now, key, Ended::Invalid, effects);
+        }
+    }
+
+    /// Sends what was collected during a batch of events.
+    pub fn settle(&mut self, effects: &mut Vec<Effect>) {
+        if self.outbox.relays.is_empty()
+            && self.outbox.results.is_empty()
+            && self.outbox.cancels.is_empty()
+        {
+            return;
+        }
+        let outbox = std::mem::take(&mut self.outbox);
+        for ((peer, ..), relay) in outbox.relays {
+            self.tell(&peer, Body::Relay(relay), effects);
+        }
+        for (peer, results) in outbox.results {
+            self.tell(&peer, Body::Relayed(Relayed { results }), effects);
+        }
+        for (peer, attempts) in outbox.cancels {
+            self.tell(&peer, Body::Cancel(wire::Cancel { attempts }), effects);
+        }
+    }
+}
+
+/// Reads a request id, which is 16 bytes, big-endian.
+fn read_request(bytes: &[u8]) -> Option<RequestId> {
+    let bytes: [u8; 16] = bytes.try_into().ok()?;
+    Some(RequestId(u128::from_be_bytes(bytes)))
+}
+
+fn refusal(attempt: u64, code: ResultCode) -> RelayResult {
+    RelayResult {
+        attempt,
+        code: code.into(),
+        ..RelayResult::default()
+    }
+}
+
+fn write_result(attempt: u64, event: UpstreamEvent) -> RelayResult {
+    match event {
+        UpstreamEvent::Replied(reply) => RelayResult {
+            request: Bytes::copy_from_slice(&reply.echo.request.0.to_be_bytes()),
+            snapshot: reply.echo.snapshot.0,
+            shard: reply.echo.shard.to_string(),
+            echo: reply.echo.attempt,
+            hits: reply.hits.into_iter().map(write_hit).collect(),
+            draining: reply.draining,
+            ..refusal(attempt, ResultCode::Replied)
+        },
+        UpstreamEvent::NoSnapshot {
+            available,
+            draining,
+        } => RelayResult {
+            available: available.into_iter().map(|id| id.0).collect(),
+            draining,
+            ..refusal(attempt, ResultCode::NoSnapshot)
+        },
+        UpstreamEvent::Refused { draining: true, .. } => refusal(attempt, ResultCode::Leaving),
+        UpstreamEvent::Refused { .. } => refusal(attempt, ResultCode::Overloaded),
+        UpstreamEvent::Failed(Failure::Connect) => refusal(attempt, ResultCode::NotSent),
+        UpstreamEvent::Failed(Failure::Unrouted) => refusal(attempt, ResultCode::Unrouted),
+        UpstreamEvent::Failed(Failure::Broken) => refusal(attempt, ResultCode::Broke),
+        UpstreamEvent::Failed(_) | UpstreamEvent::Ran { .. } => {
+            refusal(attempt, ResultCode::Invalid)
+        }
+    }
+}
+
+fn write_hit(hit: Hit) -> wire::Hit {
+    wire::Hit {
+        id: hit.id.into(),
+        score: hit.score,
+        text: hit.text.into(),
+    }
+}
+
+fn read_hit(hit: wire::Hit) -> Hit {
+    Hit {
+        id: hit.id.into(),
+        score: hit.score,
+        text: hit.text.into(),
+    }
+}
+
+/// Reads a result and the time that the sub-request waited for a slot at its owner.
+fn read_result(result: RelayResult) -> Option<(UpstreamEvent, std::time::Duration)> {
+    let queued = std::time::Duration::from_micros(result.queued_us);
+    let draining = result.draining;
+    let event = match ResultCode::try_from(result.code).ok()? {
+        ResultCode::Unspecified => return None,
+        ResultCode::Replied => UpstreamEvent::Replied(Reply {
+            echo: Echo {
+                request: read_request(&result.request)?,
+                attempt: result.echo,
+                snapshot: SnapshotId(result.snapshot),
+                shard: result.shard.parse().ok()?,
+            },
+            hits: result.hits.into_iter().map(read_hit).collect(),
+            draining,
+        }),
+        ResultCode::NoSnapshot => UpstreamEvent::NoSnapshot {
+            available: result.available.into_iter().map(SnapshotId).collect(),
+            draining,
+        },
+        ResultCode::Overloaded => UpstreamEvent::Refused {
+            retry_after: None,
+            draining: false,
+        },
+        ResultCode::Leaving => UpstreamEvent::Refused {
+            retry_after: None,
+            draining: true,
+        },
+        ResultCode::NotSent => UpstreamEvent::Failed(Failure::Connect),
+        ResultCode::Unrouted => UpstreamEvent::Failed(Failure::Unrouted),
+        ResultCode::Broke => UpstreamEvent::Failed(Failure::Broken),
+        ResultCode::Invalid => UpstreamEvent::Failed(Failure::Malformed),
+    };
+    Some((event, queued))
 }
--- a/crates/node/src/replies.rs
+++ b/crates/node/src/replies.rs
@@ -32,22 +32,35 @@
         };
         self.learn(now, &attempt, &event, effects);
         self.free_slot(now, attempt.upstream, effects);
-        if attempt.stage == Stage::Cancelled {
-            return;
+        let broke = matches!(event, UpstreamEvent::Failed(Failure::Broken));
+        self.probe_ended(now, key, &attempt, broke, effects);
+        if attempt.stage != Stage::Cancelled {
+            self.conclude(now, key, &attempt, event, effects);
         }
+    }
+
+    /// Passes the end of an attempt on to whoever it was for.
+    pub(crate) fn conclude(
+        &mut self,
+        now: Time,
+        key: AttemptKey,
+        attempt: &Attempt,
+        event: UpstreamEvent,
+        effects: &mut Vec<Effect>,
+    ) {
         match &attempt.origin {
             Origin::Search { query, part } => {
                 let (query, part) = (*query, *part);
                 self.release_outstanding(attempt.upstream);
-                self.on_search_event(now, key, &attempt, (query, part), event, effects);
+                self.on_search_event(now, key, attempt, (query, part), event, effects);
             }
-            Origin::Peer { .. } => self.relay_result(now, &attempt, event),
-            Origin::Run { .. } => self.on_run_event(now, &attempt, event, effects),
+            Origin::Peer { .. } => self.relay_result(attempt, event),
+            Origin::Run { .. } => self.on_run_event(now, attempt, event, effects),
         }
     }
 
     /// Records what an event says of its upstream, whoever asked.
-    fn learn(
+    pub(crate) fn learn(
         &mut self,
         now: Time,
         attempt: &Attempt,
@@ -124,26 +137,6 @@
         }
     }
 
-    /// Ends an attempt that was rejected before it was sent.
-    pub(crate) fn attempt_rejected(
-        &mut self,
-        now: Time,
-        key: AttemptKey,
-        effects: &mut Vec<Effect>,
-    ) {
-        let leaving = self
-            .attempts
-            .get(key)
-            .and_then(|a| self.upstreams.get(a.upstream))
-            .is_none_or(|u| u.is_leaving(now));
-        let ended = if leaving {
-            Ended::Leaving
-        } else {
-            Ended::Overloaded
-        };
-        self.queued_ended(now, key, ended, effects);
-    }
-
     /// Ends an attempt that never left this instance.
     pub(crate) fn queued_ended(
         &mut self,
@@ -155,6 +148,7 @@
         let Some(attempt) = self.attempts.remove(key) else {
             return;
         };
+        self.probe_ended(now, key, &attempt, ended == Ended::Broke, effects);
         match attempt.origin {
             Origin::Search { query, part } => {
                 self.release_outstanding(attempt.upstream);
@@ -189,7 +183,7 @@
             }
             UpstreamEvent::Refused { draining: true, .. } => Ended::Leaving,
             UpstreamEvent::Refused { .. } => Ended::Overloaded,
-            UpstreamEvent::Failed(Failure::Connect) => Ended::NotSent,
+            UpstreamEvent::Failed(Failure::Connect | Failure::Unrouted) => Ended::NotSent,
             UpstreamEvent::Failed(Failure::Broken) => Ended::Broke,
             UpstreamEvent::Failed(_) | UpstreamEvent::Ran { .. } => Ended::Invalid,
         };
@@ -269,10 +263,12 @@
         now: Time,
         fingerprint: u64,
         wanted: Wanted<'_>,
+        tried: &[UpstreamId],
     ) -> Option<UpstreamId> {
         let usable = |id: &UpstreamId| {
             let name = self.directory.names().name(*id);
-            self.upstreams.can_serve(now, *id, wanted.snapshot)
+            !tried.contains(id)
+                && self.upstreams.can_serve(now, *id, wanted.snapshot)
                 && !self.quarantine.has_broken(now, fingerprint, name)
         };
         let rank = |id: &UpstreamId| {
--- a/crates/node/src/search.rs
+++ b/crates/node/src/search.rs
@@ -177,8 +177,29 @@
         if self.quarantine.is_harmless(query.fingerprint) {
             return self.release(now, key, effects);
         }
-        let probe = u32::try_from(query.fingerprint % u64::from(parts)).unwrap_or(0);
-        self.start_probe(now, key, probe, Purpose::First, effects);
+        let first = u32::try_from(query.fingerprint % u64::from(parts)).unwrap_or(0);
+        match self.find_probe(now, key, first) {
+            Some(probe) => self.start_probe(now, key, probe, Purpose::First, effects),
+            None => self.release(now, key, effects),
+        }
+    }
+
+    /// Returns the first held part from `first` on that an upstream can try out.
+    fn find_probe(&self, now: Time, key: QueryKey, first: u32) -> Option<u32> {
+        let query = self.queries.get(key)?;
+        let parts = u32::try_from(query.parts.len()).unwrap_or(u32::MAX);
+        let usable = |part: &u32| {
+            let wanted = Wanted {
+                replicas: &query.shard(*part).replicas,
+                snapshot: query.snapshot.id,
+                home: &self.identity.data_centre,
+            };
+            query.parts[*part as usize].state == PartState::Held
+                && self
+                    .choose_probe(now, query.fingerprint, wanted, &[])
+                    .is_some()
+        };
+        (first..parts).chain(0..first).find(usable)
     }
 
     fn start_probe(
@@ -250,6 +271,7 @@
             stage: Stage::Queued,
             fingerprint: query.fingerprint,
             probe,
+            hops: 0,
             sub: Some(SubRequest::Search {
                 echo,
                 limit,
@@ -279,8 +301,8 @@
         if let Some(query) = self.queries.get_mut(key) {
             query.parts[part as usize].live.push(attempt);
         }
-        if dispatched == Dispatched::Rejected {
-            self.attempt_rejected(now, attempt, effects);
+        if let Dispatched::Rejected(ended) = dispatched {
+            self.queued_ended(now, attempt, ended, effects);
         }
         true
     }
@@ -302,7 +324,7 @@
         };
         let tried = &query.parts[part as usize].tried;
         if query.probe == Some(part) {
-            return self.choose_probe(now, query.fingerprint, wanted);
+            return self.choose_probe(now, query.fingerprint, wanted, tried);
         }
         let desperate = purpose != Purpose::Hedge;
         let fingerprint = query.fingerprint;
@@ -356,7 +378,6 @@
             return;
         };
         let entry = Rc::clone(&query.entry);
-        let probing = query.probe == Some(part);
         let patience = query.patience(part);
         let state = &mut query.parts[part as usize];
         state.check_at = Time::NEVER;
@@ -372,9 +393,6 @@
             }
             return;
         }
-        if probing {
-            return;
-        }
         let overloaded = self.admission.is_overloaded(now, &entry.service.name);
         if !state.hedged && !overloaded && self.can_hedge(now, key, part) {
             if self.admission.take_hedge(name) {
@@ -461,7 +479,7 @@
         for &loser in &losers {
             self.note_censored(now, key, part, loser);
         }
-        self.abandon(losers, effects);
+        self.abandon(now, losers, effects);
         self.quarantine.answered(fingerprint);
         if probed {
             self.release(now, key, effects);
@@ -537,8 +555,13 @@
             return self.finish(now, key, effects);
         }
         query.parts[part as usize].state = PartState::Held;
-        if query.probe.is_none_or(|probe| probe == part) {
-            self.start_probe(now, key, part, Purpose::Retry, effects);
+        if query.probe.is_some_and(|probe| probe != part) {
+            return;
+        }
+        query.probe = None;
+        match self.find_probe(now, key, part) {
+            Some(probe) => self.start_probe(now, key, probe, Purpose::Retry, effects),
+            None => self.finish(now, key, effects),
         }
     }
 
@@ -569,15 +592,15 @@
         query.replans += 1;
         query.reset();
         self.stats.replans += 1;
-        self.abandon(abandoned, effects);
+        self.abandon(now, abandoned, effects);
         self.fan_out(now, key, effects);
         true
     }
 
-    fn abandon(&mut self, attempts: Vec<AttemptKey>, effects: &mut Vec<Effect>) {
+    fn abandon(&mut self, now: Time, attempts: Vec<AttemptKey>, effects: &mut Vec<Effect>) {
         for attempt in attempts {
             self.end_outstanding(attempt);
-            self.cancel(attempt, effects);
+            self.cancel(now, attempt, effects);
         }
     }
 
@@ -617,7 +640,7 @@
 
     fn end_query(&mut self, now: Time, key: QueryKey, effects: &mut Vec<Effect>) -> Option<Query> {
         let mut query = self.queries.remove(key)?;
-        self.abandon(query.take_live(), effects);
+        self.abandon(now, query.take_live(), effects);
         let entry = &query.entry;
         self.admission
             .ended(now, &entry.entry.name, &entry.service.name, query.waited);
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -13,7 +13,7 @@
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
     /// What is said.
-    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub body: Option<Body>,
 }
 
@@ -44,6 +44,28 @@
     /// Result of a forwarded claim.
     #[prost(message, tag = "10")]
     Claimed(Claimed),
+    /// Request to hand over upstreams.
+    #[prost(message, tag = "11")]
+    Handover(Handover),
+    /// Upstreams to which the sender sends nothing more.
+    #[prost(message, tag = "12")]
+    Released(Released),
+}
+
+/// Request to hand over upstreams that are assigned to the sender now.
+#[derive(Clone, PartialEq, Message)]
+pub struct Handover {
+    /// Names of the upstreams.
+    #[prost(string, repeated, tag = "1")]
+    pub upstreams: Vec<String>,
+}
+
+/// Upstreams to which the sender sends nothing more and has nothing in flight.
+#[derive(Clone, PartialEq, Message)]
+pub struct Released {
+    /// Names of the upstreams.
+    #[prost(string, repeated, tag = "1")]
+    pub upstreams: Vec<String>,
 }
 
 /// Liveness and hints.
@@ -189,6 +211,9 @@
     /// One part for each shard.
     #[prost(message, repeated, tag = "7")]
     pub parts: Vec<RelayPart>,
+    /// Times that the sub-requests were relayed before.
+    #[prost(uint32, tag = "8")]
+    pub hops: u32,
 }
 
 /// One relayed sub-request.
@@ -203,6 +228,12 @@
     /// Shard to search.
     #[prost(string, tag = "3")]
     pub shard: String,
+    /// Whether the sub-request tries out a request that may break upstreams.
+    #[prost(bool, tag = "4")]
+    pub probe: bool,
+    /// Attempt number that the upstream repeats; it is the first sender's.
+    #[prost(uint64, tag = "5")]
+    pub echo: u64,
 }
 
 /// Results of relayed sub-requests.
@@ -228,9 +259,9 @@
     /// Shard that the upstream echoed.
     #[prost(string, tag = "4")]
     pub shard: String,
-    /// How the attempt ended: see `node::relay::ResultCode`.
-    #[prost(uint32, tag = "5")]
-    pub code: u32,
+    /// How the attempt ended.
+    #[prost(enumeration = "ResultCode", tag = "5")]
+    pub code: i32,
     /// Hits of the shard.
     #[prost(message, repeated, tag = "6")]
     pub hits: Vec<Hit>,
@@ -240,6 +271,36 @@
     /// Snapshots that the upstream serves, when it lacks the one asked for.
     #[prost(uint64, repeated, tag = "8")]
     pub available: Vec<u64>,
+    /// Attempt number that the upstream echoed.
+    #[prost(uint64, tag = "9")]
+    pub echo: u64,
+    /// Whether the upstream takes no new work.
+    #[prost(bool, tag = "10")]
+    pub draining: bool,
+}
+
+/// How a relayed sub-request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum ResultCode {
+    /// Not stated; never sent.
+    Unspecified = 0,
+    /// The upstream replied.
+    Replied = 1,
+    /// The upstream does not serve the snapshot.
+    NoSnapshot = 2,
+    /// The upstream or its owner had no room; the upstream did not start the work.
+    Overloaded = 3,
+    /// The upstream takes no new work.
+    Leaving = 4,
+    /// No byte was sent to the upstream.
+    NotSent = 5,
+    /// The connection broke while the upstream had the request.
+    Broke = 6,
+    /// The reply was late or not valid.
+    Invalid = 7,
+    /// The receiver does not send to the upstream; no byte was sent.
+    Unrouted = 8,
 }
 
 /// One hit.
