up: Add pools of connections to upstreams

One task drives a connection and its exchanges in turn, and one timer wheel holds all deadlines, so that a sub-request costs neither a task nor a timer.

--- /dev/null
+++ b/crates/up/src/conn.rs
@@ -0,0 +1,159 @@
+//! One connection and the task that drives it.
+
+use std::{
+    future::{Future, poll_fn},
+    io,
+    pin::{Pin, pin},
+    rc::Rc,
+    task::{Context, Poll},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use compio::{net::TcpStream, time::timeout};
+use cyper_core::HyperStream;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, Connection, SendRequest};
+
+use crate::{
+    exchange::{self, Next},
+    job::Job,
+    pool::{Connecting, Handed, Parked, Permit, Pool},
+};
+
+/// Longest time that the permit of a closed connection waits for its socket to be released.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// Opens a connection and serves the pool's jobs on it until it closes.
+pub(crate) async fn run(pool: Rc<Pool>, permit: Permit, connecting: Connecting) {
+    let opened = open(&pool).await;
+    drop(connecting);
+    match opened {
+        Ok((link, socket)) => {
+            pool.shared.count(|s| s.opened += 1);
+            serve(&pool, link).await;
+            // The permit is held until the socket is closed.
+            let _ = timeout(CLOSE_TIMEOUT, socket.close()).await;
+        }
+        Err(_) => pool.connect_failed(),
+    }
+    drop(permit);
+    pool.open_wanted();
+}
+
+async fn open(pool: &Pool) -> io::Result<(Link, TcpStream)> {
+    let connect = TcpStream::connect(pool.address);
+    let socket = timeout(pool.shared.settings.connect_timeout, connect)
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+    socket.set_nodelay(true)?;
+    let stream = HyperStream::new_plain(socket.clone());
+    let (sender, driver) = http1::handshake(stream).await.map_err(io::Error::other)?;
+    let link = Link {
+        sender,
+        driver: Some(driver),
+    };
+    Ok((link, socket))
+}
+
+async fn serve(pool: &Rc<Pool>, mut link: Link) {
+    while let Some(job) = next_job(pool, &mut link).await {
+        match exchange::run(pool, &mut link, job).await {
+            Next::Reuse => {}
+            Next::Close => return,
+        }
+    }
+}
+
+/// Waits for a job; `None` when the connection closed or is to be closed.
+async fn next_job(pool: &Rc<Pool>, link: &mut Link) -> Option<Rc<Job>> {
+    if !link.ready().await || pool.is_over_limit() {
+        return None;
+    }
+    if let Some(job) = pool.take_waiting() {
+        return Some(job);
+    }
+    let parked = pool.park()?;
+    let mut handed = poll_fn(|cx| link.poll_idle(cx, &parked)).await;
+    if let Handed::Job(job) = &handed
+        && link.is_closed()
+    {
+        if let Some(work) = job.work.take() {
+            pool.take_back(Rc::clone(job), work);
+        }
+        handed = Handed::Close;
+    }
+    match handed {
+        Handed::Job(job) => Some(job),
+        Handed::Nothing | Handed::Close => None,
+    }
+}
+
+/// Both ends of hyper's client: what takes requests, and what does the connection's I/O.
+pub(crate) struct Link {
+    /// Takes requests.
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    driver: Option<Connection<HyperStream<TcpStream>, Full<Bytes>>>,
+}
+
+impl Link {
+    /// Drives the connection until `future` ends; `None` when the job was abandoned before that.
+    pub(crate) async fn drive<F: Future>(&mut self, job: &Job, future: F) -> Option<F::Output> {
+        let mut future = pin!(future);
+        let mut registered = false;
+        poll_fn(|cx| {
+            if job.is_finished() {
+                return Poll::Ready(None);
+            }
+            if !registered {
+                job.set_waker(cx.waker());
+                registered = true;
+            }
+            if let Poll::Ready(output) = future.as_mut().poll(cx) {
+                return Poll::Ready(Some(output));
+            }
+            self.poll_driver(cx);
+            // What the connection read, or its end, is seen at once.
+            future.as_mut().poll(cx).map(Some)
+        })
+        .await
+    }
+
+    fn is_closed(&self) -> bool {
+        self.driver.is_none()
+    }
+
+    /// Drives the connection until it takes a request; false when it has closed.
+    async fn ready(&mut self) -> bool {
+        poll_fn(|cx| {
+            if let Poll::Ready(result) = self.sender.poll_ready(cx) {
+                return Poll::Ready(result.is_ok() && !self.is_closed());
+            }
+            self.poll_driver(cx);
+            match self.sender.poll_ready(cx) {
+                _ if self.is_closed() => Poll::Ready(false),
+                Poll::Ready(result) => Poll::Ready(result.is_ok()),
+                Poll::Pending => Poll::Pending,
+            }
+        })
+        .await
+    }
+
+    /// Drives the idle connection until it is handed something or closes.
+    fn poll_idle(&mut self, cx: &mut Context<'_>, parked: &Parked) -> Poll<Handed> {
+        self.poll_driver(cx);
+        match parked.take(cx.waker()) {
+            Handed::Nothing if self.is_closed() => Poll::Ready(Handed::Close),
+            Handed::Nothing => Poll::Pending,
+            handed => Poll::Ready(handed),
+        }
+    }
+
+    fn poll_driver(&mut self, cx: &mut Context<'_>) {
+        if let Some(driver) = &mut self.driver
+            && Pin::new(driver).poll(cx).is_ready()
+        {
+            self.driver = None;
+        }
+    }
+}
--- /dev/null
+++ b/crates/up/src/pools.rs
@@ -0,0 +1,240 @@
+//! The pools of all addresses.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::AttemptId;
+use futures_channel::mpsc::UnboundedSender;
+use node::{Event, Failure, Send, UpstreamEvent};
+
+use crate::{
+    job::{Job, Stage, Work},
+    pool::Pool,
+    request::Builder,
+    settings::Settings,
+    stats::Stats,
+    wheel::{TICK, Wheel},
+};
+
+/// Share of the idle time after which idle connections are looked at again.
+const REAPS_PER_IDLE_TIME: u32 = 4;
+
+/// Shortest time between two looks at idle connections.
+const MIN_REAP_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Pools of connections to upstreams, one for each address.
+///
+/// Clones share the same pools. All methods must be called within one compio runtime.
+#[derive(Clone)]
+pub struct Pools(Rc<Shared>);
+
+impl Pools {
+    /// Makes pools that report to `events`.
+    pub fn new(settings: Settings, events: UnboundedSender<Event>) -> Self {
+        Self(Rc::new(Shared {
+            settings,
+            events,
+            builder: Builder::new(),
+            pools: RefCell::default(),
+            attempts: RefCell::default(),
+            wheel: RefCell::new(Wheel::new(Instant::now())),
+            sweeping: Cell::new(false),
+            reaping: Cell::new(false),
+            connections: Cell::new(0),
+            stats: RefCell::default(),
+        }))
+    }
+
+    /// Sends a request; exactly one event names its attempt, unless the attempt is cancelled first.
+    pub fn send(&self, send: Send) {
+        let pool = self.0.pool(send.address);
+        pool.set_limit(send.connections as usize);
+        let deadline = Instant::now() + send.timeout;
+        let work = Work::Sub(send.attempt, send.sub);
+        let job = Job::new(Rc::clone(&pool), work, deadline);
+        self.0
+            .attempts
+            .borrow_mut()
+            .insert(send.attempt, Rc::clone(&job));
+        self.0.watch(Rc::clone(&job));
+        pool.submit(job);
+    }
+
+    /// Abandons an attempt: nothing more is reported about it.
+    ///
+    /// The upstream is told of a cancelled search if a connection to it is free. The attempt's own
+    /// connection is used again once the reply has arrived, or closed when the time has run out.
+    pub fn cancel(&self, attempt: AttemptId) {
+        let job = self.0.attempts.borrow_mut().remove(&attempt);
+        let Some(job) = job else {
+            return;
+        };
+        match job.stage() {
+            Stage::Waiting => job.abandon(),
+            Stage::Started => {
+                job.set_stage(Stage::Cancelled);
+                self.0.tell_cancelled(&job);
+            }
+            Stage::Cancelled | Stage::Finished => {}
+        }
+    }
+
+    /// Returns the number of connections that are open or being opened.
+    pub fn connections(&self) -> usize {
+        self.0.connections.get()
+    }
+
+    /// Returns the number of connections to one address that are open or being opened.
+    pub fn connections_to(&self, address: SocketAddr) -> usize {
+        let pools = self.0.pools.borrow();
+        pools.get(&address).map_or(0, |pool| pool.open())
+    }
+
+    /// Returns counts since the start and gauges of the present state.
+    pub fn stats(&self) -> Stats {
+        Stats {
+            connections: self.0.connections.get() as u64,
+            attempts: self.0.attempts.borrow().len() as u64,
+            ..*self.0.stats.borrow()
+        }
+    }
+}
+
+/// What all pools share.
+pub(crate) struct Shared {
+    /// Limits of the pools.
+    pub(crate) settings: Settings,
+    /// Makes the messages.
+    pub(crate) builder: Builder,
+    events: UnboundedSender<Event>,
+    pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
+    /// Attempts whose end has not been reported.
+    attempts: RefCell<HashMap<AttemptId, Rc<Job>>>,
+    wheel: RefCell<Wheel>,
+    sweeping: Cell<bool>,
+    reaping: Cell<bool>,
+    connections: Cell<usize>,
+    stats: RefCell<Stats>,
+}
+
+impl Shared {
+    /// Changes the counts.
+    pub(crate) fn count(&self, change: impl FnOnce(&mut Stats)) {
+        change(&mut self.stats.borrow_mut());
+    }
+
+    /// Ends a job and reports its end, unless it was cancelled or has ended.
+    pub(crate) fn finish(&self, job: &Job, event: UpstreamEvent) {
+        let stage = job.stage();
+        job.set_stage(Stage::Finished);
+        let Some(attempt) = job.attempt else {
+            return;
+        };
+        if matches!(stage, Stage::Waiting | Stage::Started) {
+            self.attempts.borrow_mut().remove(&attempt);
+            // The receiver goes away only when the instance ends.
+            let _ = self.events.unbounded_send(Event::Upstream(attempt, event));
+        }
+    }
+
+    /// Counts a connection that is being opened.
+    pub(crate) fn connection_opening(self: &Rc<Self>) {
+        self.connections.set(self.connections.get() + 1);
+        if !self.reaping.replace(true) {
+            compio::runtime::spawn(reap(Rc::clone(self))).detach();
+        }
+    }
+
+    /// Counts a connection that has been closed.
+    pub(crate) fn connection_closed(&self) {
+        self.connections.set(self.connections.get() - 1);
+    }
+
+    fn pool(self: &Rc<Self>, address: SocketAddr) -> Rc<Pool> {
+        let mut pools = self.pools.borrow_mut();
+        let pool = pools
+            .entry(address)
+            .or_insert_with(|| Pool::new(Rc::clone(self), address));
+        Rc::clone(pool)
+    }
+
+    /// Has a job abandoned at its deadline.
+    fn watch(self: &Rc<Self>, job: Rc<Job>) {
+        let mut wheel = self.wheel.borrow_mut();
+        if !self.sweeping.replace(true) {
+            wheel.restart(Instant::now());
+            compio::runtime::spawn(sweep(Rc::clone(self))).detach();
+        }
+        wheel.add(job);
+    }
+
+    fn tell_cancelled(self: &Rc<Self>, job: &Job) {
+        let Some(id) = job.take_request_id() else {
+            return;
+        };
+        if !job.pool.has_free() {
+            return self.count(|s| s.cancels_untold += 1);
+        }
+        let latest = Instant::now() + self.settings.cancel_timeout;
+        let deadline = job.deadline.min(latest);
+        let word = Job::new(Rc::clone(&job.pool), Work::Cancel(id), deadline);
+        self.watch(Rc::clone(&word));
+        job.pool.submit(word);
+    }
+
+    /// Abandons a job whose time has run out.
+    fn expire(&self, job: &Job) {
+        let failure = match job.stage() {
+            Stage::Waiting => Failure::Connect,
+            Stage::Started | Stage::Cancelled => Failure::Broken,
+            Stage::Finished => return,
+        };
+        if job.attempt.is_some() && job.stage() != Stage::Cancelled {
+            self.count(|s| s.timeouts += 1);
+        }
+        self.finish(job, UpstreamEvent::Failed(failure));
+        job.abandon();
+    }
+}
+
+/// Abandons jobs at their deadlines until none is left.
+async fn sweep(shared: Rc<Shared>) {
+    let mut due = Vec::new();
+    loop {
+        compio::time::sleep(TICK).await;
+        let now = Instant::now();
+        shared.wheel.borrow_mut().sweep(now, &mut due);
+        for job in due.drain(..) {
+            shared.expire(&job);
+        }
+        if shared.wheel.borrow().is_empty() {
+            break;
+        }
+    }
+    shared.sweeping.set(false);
+}
+
+/// Closes connections after their idle time, until none is left.
+async fn reap(shared: Rc<Shared>) {
+    let idle_time = shared.settings.idle_time;
+    let interval = (idle_time / REAPS_PER_IDLE_TIME).max(MIN_REAP_INTERVAL);
+    while shared.connections.get() > 0 {
+        compio::time::sleep(interval).await;
+        let Some(latest) = Instant::now().checked_sub(idle_time) else {
+            continue;
+        };
+        for pool in shared.pools.borrow().values() {
+            pool.close_idle_since(latest);
+        }
+    }
+    shared.reaping.set(false);
+    shared
+        .pools
+        .borrow_mut()
+        .retain(|_, pool| Rc::strong_count(pool) > 1 || !pool.is_unused());
+}
--- /dev/null
+++ b/crates/up/tests/fake.rs
@@ -0,0 +1,146 @@
+//! A small upstream on threads, whose replies a closure decides.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+};
+
+/// One request as it arrived.
+pub(crate) struct Request {
+    /// Number of its connection, from zero in order of acceptance.
+    pub(crate) connection: usize,
+    /// Request line and headers.
+    pub(crate) head: String,
+    /// Body.
+    pub(crate) body: Vec<u8>,
+}
+
+impl Request {
+    /// Returns the value of a header, or an empty text.
+    pub(crate) fn header(&self, name: &str) -> &str {
+        self.head
+            .lines()
+            .filter_map(|line| line.split_once(": "))
+            .find(|(n, _)| *n == name)
+            .map_or("", |(_, value)| value)
+    }
+
+    /// Returns a valid reply to a search.
+    pub(crate) fn found(&self, hits: &str) -> Vec<u8> {
+        let headers = ["request-id", "snapshot", "shard"]
+            .map(|name| format!("{name}: {}\r\n", self.header(name)))
+            .concat();
+        reply(200, &headers, hits)
+    }
+}
+
+/// Returns a reply; `headers` are whole lines.
+pub(crate) fn reply(status: u16, headers: &str, body: &str) -> Vec<u8> {
+    let length = body.len();
+    format!("HTTP/1.1 {status} X\r\n{headers}content-length: {length}\r\n\r\n{body}").into_bytes()
+}
+
+/// Counts of one upstream.
+#[derive(Default)]
+pub(crate) struct Counts {
+    /// Connections accepted.
+    pub(crate) accepted: AtomicUsize,
+    /// Connections open.
+    pub(crate) open: AtomicUsize,
+    /// Most connections open at once.
+    pub(crate) most_open: AtomicUsize,
+    /// Requests read.
+    pub(crate) requests: AtomicUsize,
+}
+
+/// A running upstream.
+#[derive(Clone)]
+pub(crate) struct Fake {
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// What it saw.
+    pub(crate) counts: Arc<Counts>,
+}
+
+impl Fake {
+    /// Starts an upstream; `handle` returns the reply, or `None` to close the connection.
+    pub(crate) fn start(handle: impl Fn(&Request) -> Option<Vec<u8>> + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let counts = Arc::new(Counts::default());
+        let (seen, handle) = (Arc::clone(&counts), Arc::new(handle));
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let number = seen.accepted.fetch_add(1, Ordering::SeqCst);
+                let open = seen.open.fetch_add(1, Ordering::SeqCst) + 1;
+                seen.most_open.fetch_max(open, Ordering::SeqCst);
+                let (seen, handle) = (Arc::clone(&seen), Arc::clone(&handle));
+                thread::spawn(move || {
+                    serve(stream.unwrap(), number, &seen, &*handle);
+                    seen.open.fetch_sub(1, Ordering::SeqCst);
+                });
+            }
+        });
+        Self { address, counts }
+    }
+
+    /// Returns the number of connections accepted.
+    pub(crate) fn accepted(&self) -> usize {
+        self.counts.accepted.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of requests read.
+    pub(crate) fn requests(&self) -> usize {
+        self.counts.requests.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of connections open.
+    pub(crate) fn open(&self) -> usize {
+        self.counts.open.load(Ordering::SeqCst)
+    }
+}
+
+fn serve(
+    mut stream: TcpStream,
+    connection: usize,
+    counts: &Counts,
+    handle: &dyn Fn(&Request) -> Option<Vec<u8>>,
+) {
+    stream.set_nodelay(true).unwrap();
+    let mut buf = Vec::new();
+    while let Some(request) = read(&mut stream, &mut buf, connection) {
+        counts.requests.fetch_add(1, Ordering::SeqCst);
+        match handle(&request) {
+            Some(reply) if stream.write_all(&reply).is_ok() => {}
+            _ => return,
+        }
+    }
+}
+
+fn read(stream: &mut TcpStream, buf: &mut Vec<u8>, connection: usize) -> Option<Request> {
+    let mut chunk = [0; 4096];
+    loop {
+        if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
+            let mut request = Request {
+                connection,
+                head: String::from_utf8(buf[..end].to_vec()).unwrap(),
+                body: Vec::new(),
+            };
+            let length = request.header("content-length").parse().unwrap_or(0);
+            if buf.len() >= end + 4 + length {
+                request.body = buf[end + 4..end + 4 + length].to_vec();
+                buf.drain(..end + 4 + length);
+                return Some(request);
+            }
+        }
+        match stream.read(&mut chunk) {
+            Ok(n) if n > 0 => buf.extend_from_slice(&chunk[..n]),
+            _ => return None,
+        }
+    }
+}
