Add the client of the platform's object API

Callers must tell a write that was not taken from one whose reply was lost. The body of a write reports when a connection takes it, so a failure before that point is known to have sent nothing, and a streamed body leaves the library nothing to send a second time.

--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -1,1 +1,16 @@
 //! Client of the platform's object API.
+//!
+//! [`Client`] reads, conditionally writes and watches objects over HTTP/1.1. Its errors keep apart
+//! a write that was not taken ([`Error::Unavailable`]) from a write whose reply was lost
+//! ([`Error::Unknown`]), which may have taken effect.
+
+mod body;
+mod carry;
+pub mod client;
+pub mod error;
+mod url;
+mod watch;
+
+pub use client::{Client, Settings};
+pub use error::Error;
+pub use watch::Changes;
