--- /dev/null
+++ b/crates/briarcove/src/args.rs
@@ -0,0 +1,196 @@
+//! Arguments of the command line.
+
+use std::{
+    net::{AddrParseError, Ipv4Addr, SocketAddr},
+    path::PathBuf,
+    str::FromStr,
+};
+
+use base::Revision;
+use gumdrop::Options;
+use snafu::Snafu;
+
+/// The whole command line.
+#[derive(Debug, Options)]
+pub struct Args {
+    /// Asks for help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Asks for the version.
+    #[options(no_short, help = "print the version")]
+    pub version: bool,
+    /// The subcommand.
+    #[options(command)]
+    pub command: Option<Command>,
+}
+
+/// The subcommands.
+#[derive(Debug, Options)]
+pub enum Command {
+    /// Runs an entry instance.
+    #[options(help = "run an entry instance")]
+    Serve(Serve),
+    /// Reports the findings of settings and catalogues.
+    #[options(help = "report all findings of settings and catalogues")]
+    Check(Check),
+    /// Puts a catalogue in force.
+    #[options(help = "put a catalogue in force")]
+    Apply(Apply),
+    /// Shows the state of instances.
+    #[options(help = "show the state of instances")]
+    Status(Status),
+    /// Lists the accepted changes of the catalogue.
+    #[options(help = "list the accepted changes of the catalogue")]
+    Audit(Audit),
+}
+
+/// Arguments of `serve`.
+#[derive(Debug, Options)]
+pub struct Serve {
+    /// Asks for help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Settings of the instance.
+    #[options(required, meta = "FILE", help = "settings of the instance")]
+    pub settings: PathBuf,
+}
+
+/// Arguments of `check`.
+#[derive(Debug, Options)]
+pub struct Check {
+    /// Asks for help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// What the files are; without it, their top-level keys tell.
+    #[options(
+        no_short,
+        meta = "KIND",
+        help = "settings or catalogue; otherwise the keys tell"
+    )]
+    pub r#as: Option<Document>,
+    /// Files to check.
+    #[options(free, required, help = "files to check")]
+    pub files: Vec<PathBuf>,
+}
+
+/// Arguments of `apply`.
+#[derive(Debug, Options)]
+pub struct Apply {
+    /// Asks for help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Address of the platform.
+    #[options(required, meta = "ADDR", help = "address of the platform")]
+    pub platform: Address,
+    /// Revision that has to be in force.
+    #[options(meta = "REVISION", help = "refuse unless this revision is in force")]
+    pub expect: Option<Revision>,
+    /// Shows the change without making it.
+    #[options(short = "n", help = "show the change without making it")]
+    pub dry_run: bool,
+    /// The catalogue.
+    #[options(free, required, help = "catalogue to put in force")]
+    pub catalogue: PathBuf,
+}
+
+/// Arguments of `status`.
+#[derive(Debug, Options)]
+pub struct Status {
+    /// Asks for help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Operator address of an instance.
+    #[options(
+        meta = "ADDR",
+        help = "operator address of an instance; may be repeated"
+    )]
+    pub instance: Vec<Address>,
+    /// Further operator addresses.
+    #[options(free, help = "further operator addresses")]
+    pub further: Vec<Address>,
+}
+
+/// Arguments of `audit`.
+#[derive(Debug, Options)]
+pub struct Audit {
+    /// Asks for help.
+    #[options(help = "print this help")]
+    pub help: bool,
+    /// Address of the platform.
+    #[options(required, meta = "ADDR", help = "address of the platform")]
+    pub platform: Address,
+    /// First revision to list.
+    #[options(meta = "REVISION", help = "first revision to list")]
+    pub from: Option<Revision>,
+    /// Prints one JSON object a line.
+    #[options(help = "print one JSON object a line")]
+    pub json: bool,
+}
+
+/// An IP number with a port.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Address(pub SocketAddr);
+
+impl Default for Address {
+    /// Returns an address that nothing listens on; the parser replaces it.
+    fn default() -> Self {
+        Self(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))
+    }
+}
+
+impl FromStr for Address {
+    type Err = AddrParseError;
+
+    fn from_str(text: &str) -> Result<Self, AddrParseError> {
+        text.parse().map(Self)
+    }
+}
+
+/// Kinds of document that `check` reads.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Document {
+    /// Settings of an instance.
+    Settings,
+    /// A catalogue.
+    Catalogue,
+}
+
+/// A text that names no kind of document.
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
+#[snafu(display("expected settings or catalogue"))]
+pub struct DocumentError;
+
+impl FromStr for Document {
+    type Err = DocumentError;
+
+    fn from_str(text: &str) -> Result<Self, DocumentError> {
+        match text {
+            "settings" => Ok(Self::Settings),
+            "catalogue" => Ok(Self::Catalogue),
+            _ => Err(DocumentError),
+        }
+    }
+}
+
+/// Returns the help for the command line as it was given.
+pub fn usage(args: &Args) -> String {
+    use std::fmt::Write;
+
+    let mut text = String::new();
+    let (name, options) = match &args.command {
+        Some(command) => {
+            let name = command.command_name().unwrap_or_default();
+            (format!(" {name}"), command.self_usage())
+        }
+        None => (" COMMAND".to_owned(), args.self_usage()),
+    };
+    let _ = writeln!(text, "Usage: briarcove{name} [OPTIONS]\n\n{options}");
+    if args.command.is_none() {
+        let commands = Args::command_list().unwrap_or_default();
+        let _ = writeln!(text, "\nCommands:\n{commands}\n\nExit codes:");
+        for (exit, meaning) in crate::exit::Exit::ALL {
+            let _ = writeln!(text, "  {}  {meaning}", exit.code());
+        }
+    }
+    text
+}
