--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -5,8 +5,8 @@
 use base::Version;
 use bytes::Bytes;
 use compio::time::timeout;
-use cyper::{Response, redirect::Policy};
-use http::{
+use cyper::Response;
+use ::http::{
     StatusCode,
     header::{CONTENT_LENGTH, CONTENT_TYPE, ETAG, IF_MATCH, IF_NONE_MATCH},
 };
@@ -15,7 +15,7 @@
 use crate::{
     body::{Started, read_bounded},
     error::Error,
-    url,
+    http, url,
 };
 
 /// Largest object that the platform takes, in bytes.
@@ -69,12 +69,7 @@
     ///
     /// Fails when the HTTP library can't be set up.
     pub fn new(settings: Settings) -> Result<Self, Error> {
-        let http = cyper::Client::builder()
-            .no_proxy()
-            .redirect(Policy::none())
-            .referer(false)
-            .build()
-            .map_err(Error::unavailable)?;
+        let http = http::client()?;
         Ok(Self { http, settings })
     }
 
--- a/crates/plat/src/lib.rs
+++ b/crates/plat/src/lib.rs
@@ -8,6 +8,7 @@
 mod carry;
 pub mod client;
 pub mod error;
+pub mod http;
 mod url;
 mod watch;
 
--- a/crates/plat/src/watch.rs
+++ b/crates/plat/src/watch.rs
@@ -4,7 +4,7 @@
 
 use base::Version;
 use bytes::Bytes;
-use http::StatusCode;
+use ::http::StatusCode;
 use node::{Kind, Object};
 use serde::Deserialize;
 use serde_json::value::RawValue;
