--- a/crates/node/src/store/page.rs
+++ b/crates/node/src/store/page.rs
@@ -1,6 +1,7 @@
 //! Pages of objects, as the platform and peers give them.
 
 use base::Version;
+use bytes::Bytes;
 
 use super::Store;
 use crate::object::{Kind, KindError, Object};
@@ -47,7 +48,8 @@
         kind: object.kind.parse()?,
         name: object.name.into(),
         version: Version(object.version),
-        value: object.value,
+        // A copy, so that a small object does not keep the whole receive buffer.
+        value: Bytes::copy_from_slice(&object.value),
     })
 }
 
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,6 +1,6 @@
 //! Length-delimited frames, each one encoded [`Envelope`].
 
-use bytes::{Bytes, BytesMut};
+use bytes::{BufMut, BytesMut};
 use prost::Message;
 use snafu::{ResultExt, Snafu};
 use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
@@ -10,6 +10,9 @@
 /// Largest accepted frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Size of the length before each frame, in bytes.
+const LENGTH_BYTES: usize = 4;
+
 /// A frame that cannot be read or written.
 #[derive(Debug, Snafu)]
 pub enum FrameError {
@@ -58,7 +61,14 @@
     type Error = FrameError;
 
     fn encode(&mut self, message: &Envelope, buf: &mut BytesMut) -> Result<(), FrameError> {
-        let frame = Bytes::from(message.encode_to_vec());
-        Ok(self.frames.encode(frame, buf)?)
+        let length = message.encoded_len();
+        if length > MAX_FRAME_BYTES {
+            let kind = std::io::ErrorKind::InvalidInput;
+            return Err(std::io::Error::new(kind, "message is too long").into());
+        }
+        buf.reserve(LENGTH_BYTES + length);
+        // The bound above is far below the range of the length field.
+        buf.put_u32(length as u32);
+        Ok(message.encode(buf).map_err(std::io::Error::other)?)
     }
 }
