--- a/crates/cat/src/catalogue.rs
+++ b/crates/cat/src/catalogue.rs
@@ -6,7 +6,7 @@
 mod entry;
 mod service;
 
-pub use entry::{BODY, CONCURRENT, DEADLINE, HEDGE, MAX_OWNER_CHARS, RATE, RESULTS, RETRY};
+pub use entry::{BODY, CONCURRENT, DEADLINE, HEDGE, MAX_OWNER_BYTES, RATE, RESULTS, RETRY};
 pub use service::{CONNECTIONS, SLOTS};
 
 use crate::{
@@ -41,6 +41,7 @@
     let mut declared = Declared::default();
     let services = read_services(&fields, &mut declared);
     let entries = read_entries(&fields, &mut declared);
+    // A faulty entry may be the one that names a service.
     if entries.is_some() {
         declared.report_unused(root.reader());
     }
--- a/crates/cat/src/catalogue/entry.rs
+++ b/crates/cat/src/catalogue/entry.rs
@@ -24,8 +24,8 @@
 pub const RESULTS: RangeInclusive<u32> = 1..=10_000;
 /// Size of a request body.
 pub const BODY: RangeInclusive<ByteSize> = ByteSize(1)..=ByteSize(8 << 20);
-/// Longest owner, in characters.
-pub const MAX_OWNER_CHARS: usize = 96;
+/// Longest owner, in bytes.
+pub const MAX_OWNER_BYTES: usize = 96;
 
 /// Reads one entry.
 pub(super) fn read<'r>(member: &Member<'r>, declared: &mut Declared<'r>) -> Option<Entry> {
@@ -75,9 +75,9 @@
         );
         return None;
     }
-    if owner.chars().count() > MAX_OWNER_CHARS || owner.chars().any(char::is_control) {
+    if owner.len() > MAX_OWNER_BYTES || owner.chars().any(char::is_control) {
         value.error(format!(
-            "the owner must have at most {MAX_OWNER_CHARS} characters and no control characters"
+            "the owner must have at most {MAX_OWNER_BYTES} bytes and no control characters"
         ));
         return None;
     }
--- a/crates/cat/src/lib.rs
+++ b/crates/cat/src/lib.rs
@@ -4,6 +4,8 @@
 //! findings of severity *error* yields no value.
 
 pub mod catalogue;
+pub mod change;
+pub mod diff;
 mod document;
 pub mod find;
 pub mod index;
@@ -11,6 +13,8 @@
 mod read;
 pub mod settings;
 
+pub use change::{Action, Change, Head, Item};
+pub use diff::diff;
 pub use find::{Finding, Findings, Place, Severity};
 pub use index::{Index, Shard, Snapshot};
 pub use model::{Catalogue, Class, Entry, Limits, Service, Upstream};
--- a/crates/cat/src/model.rs
+++ b/crates/cat/src/model.rs
@@ -3,6 +3,7 @@
 use std::{fmt, net::SocketAddr, str::FromStr, time::Duration};
 
 use base::{ByteSize, DataCentre, EntryName, Percent, Rate, ServiceName, UpstreamName};
+use serde::{Deserialize, Serialize};
 
 use crate::read::Keyword;
 
@@ -67,7 +68,8 @@
 }
 
 /// What a late or missing shard costs, and whether a request may be repeated.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
 pub enum Class {
     /// Answers by the deadline with the shards that arrived.
     Latency,
--- a/crates/cat/src/read/cursor.rs
+++ b/crates/cat/src/read/cursor.rs
@@ -7,7 +7,7 @@
     common::Ranged,
 };
 
-use super::{Fields, Keyword, Reader, Scalar, did_you_mean, quote};
+use super::{Fields, Keyword, MAX_QUOTED_CHARS, Reader, Scalar, did_you_mean, quote};
 
 /// A value of a document.
 #[derive(Clone, Copy)]
@@ -229,7 +229,8 @@
         Ok(value) => Some(value),
         Err(err) => {
             let message = format!("expected {}, found {}", T::WHAT, quote(text));
-            reader.error(offset, message, Some(err.to_string().into()));
+            let hint = (text.len() <= MAX_QUOTED_CHARS).then(|| err.to_string().into());
+            reader.error(offset, message, hint);
             None
         }
     }
--- a/crates/cat/src/read/fields.rs
+++ b/crates/cat/src/read/fields.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Points at the object itself.
+    pub(crate) fn object(&self) -> Cursor<'r> {
+        self.object
+    }
+
     /// Points at the value under a key, or at the object when the key is absent.
     pub(crate) fn at(&self, key: &str) -> Cursor<'r> {
         self.get(key).unwrap_or(self.object)
--- a/crates/cat/src/read/nearest.rs
+++ b/crates/cat/src/read/nearest.rs
@@ -9,8 +9,9 @@
     if name.len() > MAX_COMPARED_CHARS {
         return None;
     }
-    let most_edits = (name.len() / 3).max(1);
+    let most_edits = name.len().div_ceil(3);
     known
+        .filter(|candidate| candidate.chars().count().abs_diff(name.len()) <= most_edits)
         .map(|candidate| (edits(&name, candidate), candidate))
         .filter(|&(edits, _)| edits <= most_edits)
         .min()
--- a/crates/cat/src/settings/peers.rs
+++ b/crates/cat/src/settings/peers.rs
@@ -143,7 +143,9 @@
     if let (Some(earlier), Some(later)) = (earlier, later)
         && later <= earlier
     {
-        fields.at(later_key).error(format!(
+        let declared = fields.get(later_key).or_else(|| fields.get(earlier_key));
+        let at = declared.unwrap_or_else(|| fields.object());
+        at.error(format!(
             "{later_key} ({later}) must be longer than {earlier_key} ({earlier})"
         ));
     }
