--- /dev/null
+++ b/crates/briarcove/src/serve/shell.rs
@@ -0,0 +1,195 @@
+//! The outermost loop: the one place that reads the clock and carries out effects.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use base::{Incarnation, OpId, Time};
+use compio::{net::TcpListener, runtime::spawn, signal::unix::signal, time::timeout};
+use front::Front;
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_util::StreamExt;
+use node::{Config, Effect, Event, Identity, Node, PlatformOp};
+use slog::{Logger, info, warn};
+use snafu::ResultExt;
+
+use super::{Error, PlatformSnafu, report};
+
+/// Events that are handled before their effects are carried out.
+const MAX_BATCH: usize = 256;
+
+/// Interval at which status and metrics are brought up to date.
+const PUBLISH_INTERVAL: Duration = Duration::from_millis(100);
+
+/// Longest wait for the last messages to peers at the end.
+const FLUSH_WAIT: Duration = Duration::from_millis(200);
+
+/// Everything that one instance runs on.
+pub(super) struct Shell {
+    cfg: cat::Settings,
+    clock: Instant,
+    node: Node,
+    events: UnboundedSender<Event>,
+    inbox: UnboundedReceiver<Event>,
+    front: Rc<Front>,
+    pools: up::Pools,
+    links: peer::Links,
+    platform: plat::Client,
+    published: Time,
+    log: Logger,
+}
+
+/// Whether the loop goes on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Flow {
+    Continue,
+    Stop,
+}
+
+impl Shell {
+    /// Makes an instance that has not started.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the platform's client cannot be made.
+    pub(super) fn new(
+        cfg: &cat::Settings,
+        incarnation: Incarnation,
+        seed: u64,
+        log: Logger,
+    ) -> Result<Self, Error> {
+        let (events, inbox) = unbounded();
+        let identity = Identity {
+            instance: cfg.instance.clone(),
+            data_centre: cfg.data_centre.clone(),
+            incarnation,
+        };
+        let platform_cfg =
+            plat::Settings { timeout: cfg.platform.timeout, ..plat::Settings::new(cfg.platform.address) };
+        let front_cfg = front::Settings {
+            max_body: cfg.callers.max_body,
+            max_connections: cfg.callers.max_connections as usize,
+            ..front::Settings::new(cfg.instance.clone(), cfg.data_centre.clone())
+        };
+        let links = peer::Links::new(
+            cfg.instance.clone(),
+            incarnation,
+            events.clone(),
+            peer::Settings::default(),
+            log.clone(),
+        );
+        Ok(Self {
+            clock: Instant::now(),
+            node: Node::new(identity, Config::default(), Time::ZERO, seed),
+            front: Front::new(front_cfg, events.clone(), log.clone()),
+            pools: up::Pools::new(up::Settings::default(), events.clone()),
+            links,
+            platform: plat::Client::new(platform_cfg).context(PlatformSnafu)?,
+            published: Time::ZERO,
+            cfg: cfg.clone(),
+            events,
+            inbox,
+            log,
+        })
+    }
+
+    /// Serves until the instance is drained.
+    pub(super) async fn run(mut self, callers: TcpListener, peers: TcpListener) {
+        spawn(Rc::clone(&self.front).serve(callers)).detach();
+        let links = self.links.clone();
+        spawn(async move { links.listen(peers).await }).detach();
+        self.await_signal();
+        let _ = self.events.unbounded_send(Event::Tick);
+        let mut effects = Vec::new();
+        while self.turn(&mut effects).await == Flow::Continue {}
+        self.front.stop_accepting();
+        if timeout(self.cfg.shutdown.grace, self.front.drained()).await.is_err() {
+            warn!(self.log, "shutdown grace is over with requests in flight");
+        }
+        self.links.flush(FLUSH_WAIT).await;
+    }
+
+    /// Asks the reducer to drain when the process is told to end.
+    fn await_signal(&self) {
+        let (events, log) = (self.events.clone(), self.log.clone());
+        spawn(async move {
+            match signal(libc::SIGTERM).await {
+                Ok(()) => info!(log, "termination signal; draining"),
+                Err(error) => return warn!(log, "signals cannot be awaited"; "error" => %error),
+            }
+            let _ = events.unbounded_send(Event::Drain);
+        })
+        .detach();
+    }
+
+    /// Handles the events that are there, or the next one, and carries out what follows.
+    async fn turn(&mut self, effects: &mut Vec<Effect>) -> Flow {
+        let event = self.next_event().await;
+        self.node.on(self.now(), event, effects);
+        for _ in 1..MAX_BATCH {
+            let Ok(event) = self.inbox.try_recv() else {
+                break;
+            };
+            self.node.on(self.now(), event, effects);
+        }
+        self.node.settle(effects);
+        let mut flow = Flow::Continue;
+        for effect in effects.drain(..) {
+            if self.carry_out(effect) == Flow::Stop {
+                flow = Flow::Stop;
+            }
+        }
+        self.publish();
+        flow
+    }
+
+    async fn next_event(&mut self) -> Event {
+        if let Ok(event) = self.inbox.try_recv() {
+            return event;
+        }
+        let due = self.published + PUBLISH_INTERVAL;
+        let wake = self.node.next_wake().unwrap_or(due).min(due);
+        let wait = wake.since(self.now());
+        match timeout(wait, self.inbox.next()).await {
+            Ok(Some(event)) => event,
+            Ok(None) | Err(_) => Event::Tick,
+        }
+    }
+
+    fn now(&self) -> Time {
+        Time::ZERO + self.clock.elapsed()
+    }
+
+    fn carry_out(&self, effect: Effect) -> Flow {
+        match effect {
+            Effect::Answer(call, answer) => self.front.answer(call, answer),
+            Effect::Send(send) => self.pools.send(send),
+            Effect::Cancel(attempt) => self.pools.cancel(attempt),
+            Effect::Platform(op, call) => self.call_platform(op, call),
+            Effect::Peer(to, body) => self.links.send(to, body),
+            Effect::Note(note) => report::note(&self.log, &note),
+            Effect::Stop => return Flow::Stop,
+        }
+        Flow::Continue
+    }
+
+    fn call_platform(&self, op: OpId, call: PlatformOp) {
+        let (platform, events) = (self.platform.clone(), self.events.clone());
+        spawn(async move {
+            let event = platform.carry_out(call).await;
+            let _ = events.unbounded_send(Event::Platform(op, event));
+        })
+        .detach();
+    }
+
+    /// Brings status and metrics up to date when it is time.
+    fn publish(&mut self) {
+        let now = self.now();
+        if now.since(self.published) < PUBLISH_INTERVAL {
+            return;
+        }
+        self.published = now;
+        self.front.publish(self.node.stats(), self.pools.connections());
+    }
+}
--- a/crates/node/src/search.rs
+++ b/crates/node/src/search.rs
@@ -561,7 +561,18 @@
         query.probe = None;
         match self.find_probe(now, key, part) {
             Some(probe) => self.start_probe(now, key, probe, Purpose::Retry, effects),
-            None => self.finish(now, key, effects),
+            None => self.give_up_part(now, key, part, effects),
+        }
+    }
+
+    /// Ends a part that nothing can serve, and the search when nothing of it is in flight.
+    fn give_up_part(&mut self, now: Time, key: QueryKey, part: u32, effects: &mut Vec<Effect>) {
+        let Some(query) = self.queries.get_mut(key) else {
+            return;
+        };
+        query.close_part(part, PartState::Missing);
+        if query.parts.iter().all(|p| p.live.is_empty()) {
+            self.finish(now, key, effects);
         }
     }
 
