--- /dev/null
+++ b/crates/rig/src/sim/mod.rs
@@ -0,0 +1,12 @@
+//! A small deterministic world for reducers: instances, platform, upstreams and callers on one
+//! simulated clock, with faults, and a history that [`crate::history`] checks.
+//!
+//! Everything random comes from one seed, so a run is repeated from its plan and seed.
+
+mod network;
+mod platform;
+mod upstream;
+mod world;
+
+pub use upstream::UpstreamPlan;
+pub use world::{Fault, Plan, World};
