--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -1,1 +1,9 @@
-//! Test-only stand-ins, load and experiment tool, history checks.
+//! Stand-ins for the platform and the upstreams, and a load generator; for tests only.
+//!
+//! Every server runs on one thread with one compio runtime and stops when its handle is dropped.
+
+pub mod client;
+pub mod platform;
+pub mod reply;
+pub mod server;
+pub mod upstream;
--- /dev/null
+++ b/crates/rig/src/reply.rs
@@ -0,0 +1,57 @@
+//! Requests read whole and replies built whole.
+
+use bytes::Bytes;
+use http::{HeaderMap, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use serde::Serialize;
+use snafu::Snafu;
+
+/// A whole reply.
+pub type Reply = Response<Full<Bytes>>;
+
+/// Closes the connection without a reply.
+#[derive(Clone, Copy, Debug, Snafu)]
+#[snafu(display("the connection is closed without a reply"))]
+pub struct Abort;
+
+/// Builds a reply with `status` and `body`.
+pub fn with_body(status: StatusCode, body: Bytes) -> Reply {
+    let mut reply = Response::new(Full::new(body));
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Builds a reply without a body.
+pub fn empty(status: StatusCode) -> Reply {
+    with_body(status, Bytes::new())
+}
+
+/// Builds a reply with `value` as JSON.
+pub fn json(status: StatusCode, value: &impl Serialize) -> Reply {
+    let Ok(body) = serde_json::to_vec(value) else {
+        return empty(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    let mut reply = with_body(status, body.into());
+    let kind = header::HeaderValue::from_static("application/json");
+    reply.headers_mut().insert(header::CONTENT_TYPE, kind);
+    reply
+}
+
+/// Reads a body of up to `limit` bytes; `None` means that it is longer.
+///
+/// # Errors
+///
+/// [`Abort`] when the client stops sending.
+pub async fn read_body(body: Incoming, limit: usize) -> Result<Option<Bytes>, Abort> {
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(Some(whole.to_bytes())),
+        Err(e) if e.is::<LengthLimitError>() => Ok(None),
+        Err(_) => Err(Abort),
+    }
+}
+
+/// Parses the header `name` as a number.
+pub fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
