--- a/crates/plat/src/client.rs
+++ b/crates/plat/src/client.rs
@@ -2,14 +2,14 @@
 
 use std::{future::Future, net::SocketAddr, time::Duration};
 
-use base::Version;
-use bytes::Bytes;
-use compio::time::timeout;
-use cyper::Response;
 use ::http::{
     StatusCode,
     header::{CONTENT_LENGTH, CONTENT_TYPE, ETAG, IF_MATCH, IF_NONE_MATCH},
 };
+use base::Version;
+use bytes::Bytes;
+use compio::time::timeout;
+use cyper::Response;
 use node::{Kind, Object};
 
 use crate::{
--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -2,10 +2,10 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use ::http::StatusCode;
 use bytes::Bytes;
 use compio::time::timeout;
 use cyper::redirect::Policy;
-use ::http::StatusCode;
 
 use crate::{body::read_bounded, error::Error};
 
--- a/crates/plat/src/watch.rs
+++ b/crates/plat/src/watch.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
+use ::http::StatusCode;
 use base::Version;
 use bytes::Bytes;
-use ::http::StatusCode;
 use node::{Kind, Object};
 use serde::Deserialize;
 use serde_json::value::RawValue;
