up: report the end of a cancelled attempt

A cancelled attempt holds its upstream's slot until the connection is free again; without the report the reducer freed the slot at once and could exceed the slots. A timeout is told apart from a broken connection, which counts against the request.

--- a/crates/briarcove/src/serve/shell.rs
+++ b/crates/briarcove/src/serve/shell.rs
@@ -64,6 +64,7 @@
             instance: cfg.instance.clone(),
             data_centre: cfg.data_centre.clone(),
             incarnation,
+            peers: cfg.peers.advertise.unwrap_or(cfg.peers.listen),
         };
         let platform_cfg =
             plat::Settings { timeout: cfg.platform.timeout, ..plat::Settings::new(cfg.platform.address) };
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -1,6 +1,6 @@
 //! The reducer itself: state, and the one place where events are told apart.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, net::SocketAddr};
 
 use base::{DataCentre, Incarnation, InstanceName, OpId, Time};
 use rand::{SeedableRng, rngs::SmallRng};
@@ -33,6 +33,8 @@
     pub data_centre: DataCentre,
     /// Start count.
     pub incarnation: Incarnation,
+    /// Address on which it accepts peers.
+    pub peers: SocketAddr,
 }
 
 /// Settings of the reducer.
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -95,5 +95,7 @@
         Body::Cancel(m) => m.encoded_len(),
         Body::Claim(m) => m.encoded_len(),
         Body::Claimed(m) => m.encoded_len(),
+        Body::Handover(m) => m.encoded_len(),
+        Body::Released(m) => m.encoded_len(),
     }
 }
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -156,11 +156,19 @@
 
     fn step(&mut self, now: Time, seen: &Seen) {
         match seen {
-            Seen::Called { request, key, instance } => {
+            Seen::Called {
+                request,
+                key,
+                instance,
+            } => {
                 self.open.insert(*request, (instance.clone(), key.clone()));
             }
             Seen::Answered { request, answer } => self.answered(*request, answer),
-            Seen::Searched { request, shard, snapshot } => {
+            Seen::Searched {
+                request,
+                shard,
+                snapshot,
+            } => {
                 self.searched.insert((*request, *snapshot, shard.clone()));
             }
             Seen::Started { upstream } => self.started(now, upstream),
@@ -168,10 +176,15 @@
             Seen::Leaving { upstream } => {
                 self.leaving.entry(upstream.clone()).or_insert(now);
             }
-            Seen::InForce { instance, life, revision } => {
+            Seen::InForce {
+                instance,
+                life,
+                revision,
+            } => {
                 let held = self.in_force.insert((instance.clone(), *life), *revision);
                 if held.is_some_and(|held| held > *revision) {
-                    self.violations.insert(Violation::Reverted(instance.clone()));
+                    self.violations
+                        .insert(Violation::Reverted(instance.clone()));
                 }
             }
             Seen::Draining { .. } => {}
@@ -218,11 +231,16 @@
             if snapshot != Some(found.snapshot) {
                 self.violations.insert(Violation::MixedSnapshots(request));
             }
-            shards.extend(fields.next().and_then(|text| text.parse::<ShardName>().ok()));
+            shards.extend(
+                fields
+                    .next()
+                    .and_then(|text| text.parse::<ShardName>().ok()),
+            );
         }
         let coverage = &found.coverage;
         let searched = |shard: &ShardName| {
-            self.searched.contains(&(request, found.snapshot, shard.clone()))
+            self.searched
+                .contains(&(request, found.snapshot, shard.clone()))
         };
         let counted = usize::try_from(coverage.answered) == Ok(shards.len())
             && coverage.asked as usize == shards.len() + coverage.missing.len();
@@ -233,8 +251,13 @@
     }
 
     fn started(&mut self, now: Time, upstream: &UpstreamName) {
-        if self.leaving.get(upstream).is_some_and(|since| now.since(*since) > LEAVING_BOUND) {
-            self.violations.insert(Violation::WorkAfterLeaving(upstream.clone()));
+        if self
+            .leaving
+            .get(upstream)
+            .is_some_and(|since| now.since(*since) > LEAVING_BOUND)
+        {
+            self.violations
+                .insert(Violation::WorkAfterLeaving(upstream.clone()));
         }
     }
 
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,7 +3,9 @@
 //! Every server runs on one thread with one compio runtime and stops when its handle is dropped.
 
 pub mod client;
+pub mod history;
 pub mod platform;
 pub mod reply;
 pub mod server;
+pub mod sim;
 pub mod upstream;
--- a/crates/rig/src/sim/network.rs
+++ b/crates/rig/src/sim/network.rs
@@ -18,6 +18,8 @@
 
     /// Returns whether a message passes.
     pub(super) fn passes(&self, now: Time, a: usize, b: usize) -> bool {
-        self.cuts.get(&(a.min(b), a.max(b))).is_none_or(|until| *until <= now)
+        self.cuts
+            .get(&(a.min(b), a.max(b)))
+            .is_none_or(|until| *until <= now)
     }
 }
--- a/crates/rig/src/sim/platform.rs
+++ b/crates/rig/src/sim/platform.rs
@@ -37,7 +37,12 @@
     /// Writes an object whatever its version is, as its owner outside the system does.
     pub(super) fn publish(&mut self, kind: Kind, name: &str, value: Bytes) {
         self.last = self.last.next();
-        let object = Object { kind, name: name.into(), version: self.last, value };
+        let object = Object {
+            kind,
+            name: name.into(),
+            version: self.last,
+            value,
+        };
         self.objects.insert((kind, name.into()), object);
     }
 
@@ -54,7 +59,12 @@
             PlatformOp::Watch { after, wait } => {
                 let (objects, seen) = self.changed(after);
                 if objects.is_empty() && !wait.is_zero() {
-                    self.waiters.push(Waiter { instance, op, after, until: now + wait });
+                    self.waiters.push(Waiter {
+                        instance,
+                        op,
+                        after,
+                        until: now + wait,
+                    });
                     return None;
                 }
                 PlatformEvent::Changed { objects, seen }
@@ -62,12 +72,21 @@
             PlatformOp::Read { kind, name } => {
                 PlatformEvent::Read(self.objects.get(&(kind, name)).cloned())
             }
-            PlatformOp::Write { kind, name, expect, value } => {
+            PlatformOp::Write {
+                kind,
+                name,
+                expect,
+                value,
+            } => {
                 self.writes += 1;
                 self.write(kind, name, expect, value)
             }
         };
-        Some(Outgoing { instance, op, event })
+        Some(Outgoing {
+            instance,
+            op,
+            event,
+        })
     }
 
     fn write(
@@ -96,7 +115,11 @@
                 continue;
             }
             let event = PlatformEvent::Changed { objects, seen };
-            answers.push(Outgoing { instance: waiter.instance, op: waiter.op, event });
+            answers.push(Outgoing {
+                instance: waiter.instance,
+                op: waiter.op,
+                event,
+            });
         }
         answers
     }
--- a/crates/rig/src/sim/upstream.rs
+++ b/crates/rig/src/sim/upstream.rs
@@ -97,15 +97,24 @@
         match sub {
             SubRequest::Search { echo, .. } if !self.plan.snapshots.contains(&echo.snapshot) => {
                 let available = self.plan.snapshots.iter().copied().collect();
-                UpstreamEvent::NoSnapshot { available, draining }
+                UpstreamEvent::NoSnapshot {
+                    available,
+                    draining,
+                }
             }
             SubRequest::Search { echo, .. } => {
                 let hits = vec![hit(echo)];
-                UpstreamEvent::Replied(Reply { echo: echo.clone(), hits, draining })
-            }
-            SubRequest::Run { request, .. } => {
-                UpstreamEvent::Ran { request: *request, outcome: outcome_of(*request), draining }
+                UpstreamEvent::Replied(Reply {
+                    echo: echo.clone(),
+                    hits,
+                    draining,
+                })
             }
+            SubRequest::Run { request, .. } => UpstreamEvent::Ran {
+                request: *request,
+                outcome: outcome_of(*request),
+                draining,
+            },
         }
     }
 }
--- a/crates/rig/src/sim/world.rs
+++ b/crates/rig/src/sim/world.rs
@@ -124,8 +124,17 @@
 
 /// Something that is going to happen.
 enum Happening {
-    Event { instance: usize, life: u64, event: Event },
-    AtPlatform { instance: usize, life: u64, op: OpId, call: PlatformOp },
+    Event {
+        instance: usize,
+        life: u64,
+        event: Event,
+    },
+    AtPlatform {
+        instance: usize,
+        life: u64,
+        op: OpId,
+        call: PlatformOp,
+    },
     AtUpstream(SocketAddr, Work),
     Finished(SocketAddr, u64),
     WatchesEnd,
@@ -173,7 +182,9 @@
             happenings: BTreeMap::new(),
             sequence: 0,
             instances: Vec::new(),
-            upstreams: upstreams.map(|(n, a, p)| (a, Upstream::new(n, p))).collect(),
+            upstreams: upstreams
+                .map(|(n, a, p)| (a, Upstream::new(n, p)))
+                .collect(),
             platform,
             platform_down_until: Time::ZERO,
             lose_replies: 0,
@@ -188,8 +199,9 @@
             called_at: BTreeMap::new(),
         };
         for (index, data_centre) in plan.instances.into_iter().enumerate() {
-            let name: InstanceName =
-                format!("instance-{index}").parse().expect("a valid instance name");
+            let name: InstanceName = format!("instance-{index}")
+                .parse()
+                .expect("a valid instance name");
             world.instances.push(Instance {
                 name,
                 data_centre,
@@ -293,8 +305,22 @@
         let id = CallId(self.calls);
         self.requests.insert((instance, id), request);
         self.called_at.insert(request, self.now);
-        self.history.push(self.now, Seen::Called { request, key, instance: name });
-        self.later(self.now, Happening::Event { instance, life, event: Event::Call(id, call) });
+        self.history.push(
+            self.now,
+            Seen::Called {
+                request,
+                key,
+                instance: name,
+            },
+        );
+        self.later(
+            self.now,
+            Happening::Event {
+                instance,
+                life,
+                event: Event::Call(id, call),
+            },
+        );
     }
 
     /// Lets a fault happen after a while.
@@ -342,8 +368,17 @@
 
     fn happen(&mut self, happening: Happening) {
         match happening {
-            Happening::Event { instance, life, event } => self.deliver(instance, life, event),
-            Happening::AtPlatform { instance, life, op, call } => {
+            Happening::Event {
+                instance,
+                life,
+                event,
+            } => self.deliver(instance, life, event),
+            Happening::AtPlatform {
+                instance,
+                life,
+                op,
+                call,
+            } => {
                 self.at_platform(instance, life, op, call);
             }
             Happening::AtUpstream(address, work) => self.at_upstream(address, work),
@@ -368,7 +403,14 @@
         let seed = self.rng.random();
         instance.node = Some(Node::new(identity, self.config.clone(), self.now, seed));
         let life = instance.life;
-        self.later(self.now, Happening::Event { instance: index, life, event: Event::Tick });
+        self.later(
+            self.now,
+            Happening::Event {
+                instance: index,
+                life,
+                event: Event::Tick,
+            },
+        );
     }
 
     fn deliver(&mut self, index: usize, life: u64, event: Event) {
@@ -378,7 +420,14 @@
         }
         if instance.paused_until > self.now {
             let at = instance.paused_until;
-            return self.later(at, Happening::Event { instance: index, life, event });
+            return self.later(
+                at,
+                Happening::Event {
+                    instance: index,
+                    life,
+                    event,
+                },
+            );
         }
         if let Event::Tick = event {
             instance.wake = Time::NEVER;
@@ -393,7 +442,14 @@
         let wake = wake.max(self.now + Duration::from_micros(1));
         if wake < instance.wake {
             instance.wake = wake;
-            self.later(wake, Happening::Event { instance: index, life, event: Event::Tick });
+            self.later(
+                wake,
+                Happening::Event {
+                    instance: index,
+                    life,
+                    event: Event::Tick,
+                },
+            );
         }
         for effect in effects {
             self.carry_out(index, life, effect);
@@ -405,19 +461,44 @@
             Effect::Answer(call, answer) => self.answered(index, call, answer),
             Effect::Send(send) => {
                 let at = self.now + HOP + self.jitter();
-                let Send { attempt, address, sub, .. } = send;
-                let work = Work { instance: index, life, attempt, sub };
+                let Send {
+                    attempt,
+                    address,
+                    sub,
+                    ..
+                } = send;
+                let work = Work {
+                    instance: index,
+                    life,
+                    attempt,
+                    sub,
+                };
                 self.later(at, Happening::AtUpstream(address, work));
             }
             Effect::Cancel(attempt) => self.cancel(index, life, attempt),
             Effect::Platform(op, call) => {
                 let at = self.now + PLATFORM_HOP + self.jitter();
-                self.later(at, Happening::AtPlatform { instance: index, life, op, call });
+                self.later(
+                    at,
+                    Happening::AtPlatform {
+                        instance: index,
+                        life,
+                        op,
+                        call,
+                    },
+                );
             }
             Effect::Peer(to, body) => self.send_to_peer(index, &to, body),
             Effect::Note(Note::InForce(revision)) => {
                 let instance = self.instances[index].name.clone();
-                self.history.push(self.now, Seen::InForce { instance, life, revision });
+                self.history.push(
+                    self.now,
+                    Seen::InForce {
+                        instance,
+                        life,
+                        revision,
+                    },
+                );
             }
             Effect::Note(_) => {}
             Effect::Stop => self.stopped(index),
@@ -429,7 +510,13 @@
             return;
         };
         let took = self.now.since(self.called_at[&request]);
-        self.history.push(self.now, Seen::Answered { request, answer: answer.clone() });
+        self.history.push(
+            self.now,
+            Seen::Answered {
+                request,
+                answer: answer.clone(),
+            },
+        );
         self.answers.insert(request, (answer, took));
     }
 
@@ -437,7 +524,8 @@
         let instance = &mut self.instances[index];
         instance.node = None;
         let name = instance.name.clone();
-        self.history.push(self.now, Seen::Drained { instance: name });
+        self.history
+            .push(self.now, Seen::Drained { instance: name });
     }
 
     fn send_to_peer(&mut self, from: usize, to: &PeerAddress, body: Body) {
@@ -458,22 +546,48 @@
         let life = self.instances[target].life;
         let at = self.now + HOP + self.jitter();
         let event = Event::Peer(envelope);
-        self.later(at, Happening::Event { instance: target, life, event });
+        self.later(
+            at,
+            Happening::Event {
+                instance: target,
+                life,
+                event,
+            },
+        );
     }
 
     fn at_platform(&mut self, instance: usize, life: u64, op: OpId, call: PlatformOp) {
         if self.platform_down_until > self.now {
             let event = PlatformEvent::Unavailable;
-            return self.platform_answers(Outgoing { instance, op, event }, life);
+            return self.platform_answers(
+                Outgoing {
+                    instance,
+                    op,
+                    event,
+                },
+                life,
+            );
         }
         let is_write = matches!(call, PlatformOp::Write { .. });
         if is_write && self.delay_writes.0 > 0 {
             self.delay_writes.0 -= 1;
             let event = PlatformEvent::Unknown;
-            self.platform_answers(Outgoing { instance, op, event }, life);
+            self.platform_answers(
+                Outgoing {
+                    instance,
+                    op,
+                    event,
+                },
+                life,
+            );
             let late = self.now + self.delay_writes.1;
             // Nobody listens to the late write's answer.
-            let call = Happening::AtPlatform { instance, life: 0, op, call };
+            let call = Happening::AtPlatform {
+                instance,
+                life: 0,
+                op,
+                call,
+            };
             return self.later(late, call);
         }
         let wait = match &call {
@@ -502,7 +616,14 @@
     fn platform_answers(&mut self, answer: Outgoing, life: u64) {
         let at = self.now + PLATFORM_HOP + self.jitter();
         let event = Event::Platform(answer.op, answer.event);
-        self.later(at, Happening::Event { instance: answer.instance, life, event });
+        self.later(
+            at,
+            Happening::Event {
+                instance: answer.instance,
+                life,
+                event,
+            },
+        );
     }
 
     fn answer_watches(&mut self) {
@@ -522,7 +643,8 @@
         let name = upstream.name.clone();
         if upstream::breaks(&work.sub) {
             upstream.broken += 1;
-            self.history.push(self.now, Seen::Started { upstream: name });
+            self.history
+                .push(self.now, Seen::Started { upstream: name });
             self.report(&work, upstream::lost());
             return self.break_upstream(address);
         }
@@ -530,7 +652,8 @@
         let slow = plan.slow_one_in > 0 && self.rng.random_range(0..plan.slow_one_in) == 0;
         let length = plan.service_time * if slow { 10 } else { 1 };
         let number = upstream.begin(work);
-        self.history.push(self.now, Seen::Started { upstream: name });
+        self.history
+            .push(self.now, Seen::Started { upstream: name });
         let at = self.now + length + self.jitter();
         self.later(at, Happening::Finished(address, number));
     }
@@ -553,7 +676,10 @@
                 self.history.push(self.now, seen);
             }
             (SubRequest::Run { request, key, .. }, _) => {
-                let seen = Seen::Ran { request: *request, key: key.clone() };
+                let seen = Seen::Ran {
+                    request: *request,
+                    key: key.clone(),
+                };
                 self.history.push(self.now, seen);
             }
             (SubRequest::Search { .. }, _) => {}
@@ -570,11 +696,21 @@
             });
         }
         let event = Event::Upstream(attempt, UpstreamEvent::Failed(Failure::Cancelled));
-        self.later(self.now + HOP * 2, Happening::Event { instance, life, event });
+        self.later(
+            self.now + HOP * 2,
+            Happening::Event {
+                instance,
+                life,
+                event,
+            },
+        );
     }
 
     fn break_upstream(&mut self, address: SocketAddr) {
-        let lost = self.upstreams.get_mut(&address).map(|u| u.break_down(self.now));
+        let lost = self
+            .upstreams
+            .get_mut(&address)
+            .map(|u| u.break_down(self.now));
         for work in lost.unwrap_or_default() {
             self.report(&work, upstream::lost());
         }
@@ -584,7 +720,14 @@
         let at = self.now + HOP + self.jitter();
         let event = Event::Upstream(work.attempt, event);
         let (instance, life) = (work.instance, work.life);
-        self.later(at, Happening::Event { instance, life, event });
+        self.later(
+            at,
+            Happening::Event {
+                instance,
+                life,
+                event,
+            },
+        );
     }
 
     fn break_something(&mut self, fault: Fault) {
@@ -639,7 +782,15 @@
             return;
         }
         let (life, name) = (instance.life, instance.name.clone());
-        self.history.push(self.now, Seen::Draining { instance: name });
-        self.later(self.now, Happening::Event { instance: index, life, event: Event::Drain });
+        self.history
+            .push(self.now, Seen::Draining { instance: name });
+        self.later(
+            self.now,
+            Happening::Event {
+                instance: index,
+                life,
+                event: Event::Drain,
+            },
+        );
     }
 }
--- a/crates/up/src/exchange.rs
+++ b/crates/up/src/exchange.rs
@@ -145,7 +145,7 @@
     match failure {
         Failure::Broken => pool.shared.count(|s| s.broken += 1),
         Failure::Malformed => pool.shared.count(|s| s.malformed += 1),
-        Failure::Connect | Failure::Cancelled => {}
+        Failure::Connect | Failure::Unrouted | Failure::TimedOut | Failure::Cancelled => {}
     }
     pool.shared.finish(job, UpstreamEvent::Failed(failure));
 }
--- a/crates/up/src/pools.rs
+++ b/crates/up/src/pools.rs
@@ -50,7 +50,7 @@
         }))
     }
 
-    /// Sends a request; exactly one event names its attempt, unless the attempt is cancelled first.
+    /// Sends a request; exactly one event names its attempt, also when it is cancelled.
     pub fn send(&self, send: Send) {
         let pool = self.0.pool(send.address);
         pool.set_limit(send.connections as usize);
@@ -65,7 +65,7 @@
         pool.submit(job);
     }
 
-    /// Abandons an attempt: nothing more is reported about it.
+    /// Abandons an attempt: all that is reported of it is that its connection is free or closed.
     ///
     /// The upstream is told of a cancelled search if a connection to it is free. The attempt's own
     /// connection is used again once the reply has arrived, or closed when the time has run out.
@@ -75,7 +75,11 @@
             return;
         };
         match job.stage() {
-            Stage::Waiting => job.abandon(),
+            Stage::Waiting => {
+                job.abandon();
+                self.0
+                    .report(attempt, UpstreamEvent::Failed(Failure::Cancelled));
+            }
             Stage::Started => {
                 job.set_stage(Stage::Cancelled);
                 self.0.tell_cancelled(&job);
@@ -128,20 +132,28 @@
         change(&mut self.stats.borrow_mut());
     }
 
-    /// Ends a job and reports its end, unless it was cancelled or has ended.
+    /// Ends a job and reports its end; of a cancelled one only that its connection is free.
     pub(crate) fn finish(&self, job: &Job, event: UpstreamEvent) {
         let stage = job.stage();
         job.set_stage(Stage::Finished);
         let Some(attempt) = job.attempt else {
             return;
         };
-        if matches!(stage, Stage::Waiting | Stage::Started) {
-            self.attempts.borrow_mut().remove(&attempt);
-            // The receiver goes away only when the instance ends.
-            let _ = self.events.unbounded_send(Event::Upstream(attempt, event));
+        match stage {
+            Stage::Waiting | Stage::Started => {
+                self.attempts.borrow_mut().remove(&attempt);
+                self.report(attempt, event);
+            }
+            Stage::Cancelled => self.report(attempt, UpstreamEvent::Failed(Failure::Cancelled)),
+            Stage::Finished => {}
         }
     }
 
+    fn report(&self, attempt: AttemptId, event: UpstreamEvent) {
+        // The receiver goes away only when the instance ends.
+        let _ = self.events.unbounded_send(Event::Upstream(attempt, event));
+    }
+
     /// Counts a connection that is being opened.
     pub(crate) fn connection_opening(self: &Rc<Self>) {
         self.connections.set(self.connections.get() + 1);
@@ -191,7 +203,7 @@
     fn expire(&self, job: &Job) {
         let failure = match job.stage() {
             Stage::Waiting => Failure::Connect,
-            Stage::Started | Stage::Cancelled => Failure::Broken,
+            Stage::Started | Stage::Cancelled => Failure::TimedOut,
             Stage::Finished => return,
         };
         if job.attempt.is_some() && job.stage() != Stage::Cancelled {
--- a/crates/up/tests/fake.rs
+++ b/crates/up/tests/fake.rs
@@ -69,7 +69,9 @@
 
 impl Fake {
     /// Starts an upstream; `handle` returns the reply, or `None` to close the connection.
-    pub(crate) fn start(handle: impl Fn(&Request) -> Option<Vec<u8>> + Send + Sync + 'static) -> Self {
+    pub(crate) fn start(
+        handle: impl Fn(&Request) -> Option<Vec<u8>> + Send + Sync + 'static,
+    ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").unwrap();
         let address = listener.local_addr().unwrap();
         let counts = Arc::new(Counts::default());
