--- /dev/null
+++ b/crates/front/src/answer.rs
@@ -0,0 +1,121 @@
+//! Answers as HTTP responses.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Response, StatusCode, header};
+use http_body_util::Full;
+use node::{Answer, Reason, Refusal};
+
+use crate::{
+    error::BadRequest,
+    json::{self, Problem},
+};
+
+/// A response as hyper writes it.
+pub(crate) type Reply = Response<Full<Bytes>>;
+
+/// What is certain about a request that was refused.
+const NOT_RUN: &str = "not run";
+
+/// Makes a response with a JSON body.
+pub(crate) fn json(status: StatusCode, body: Vec<u8>) -> Reply {
+    with_type(status, body, "application/json")
+}
+
+/// Makes a response whose body has the given media type.
+pub(crate) fn with_type(status: StatusCode, body: Vec<u8>, media_type: &'static str) -> Reply {
+    let mut reply = Response::new(Full::new(Bytes::from(body)));
+    *reply.status_mut() = status;
+    let media_type = HeaderValue::from_static(media_type);
+    reply.headers_mut().insert(header::CONTENT_TYPE, media_type);
+    reply
+}
+
+/// Makes the response that gives a caller its answer.
+pub(crate) fn answer(answer: &Answer) -> Reply {
+    match answer {
+        Answer::Found(found) => json(StatusCode::OK, json::found(found)),
+        Answer::Done {
+            request,
+            outcome,
+            repeated,
+        } => json(StatusCode::OK, json::done(*request, outcome, *repeated)),
+        Answer::Refused(refusal) => refused(refusal),
+        Answer::Unknown { retry_after } => {
+            let problem = Problem {
+                result: "unknown",
+                reason: None,
+                detail: None,
+                retry_after_ms: Some(json::millis(*retry_after)),
+            };
+            let reply = json(StatusCode::ACCEPTED, problem.write());
+            with_retry_after(reply, *retry_after)
+        }
+    }
+}
+
+/// Makes the response to a request that is wrong in form.
+pub(crate) fn bad_request(error: &BadRequest) -> Reply {
+    let detail = error.to_string();
+    let problem = Problem {
+        result: NOT_RUN,
+        reason: Some(error.reason()),
+        detail: Some(&detail),
+        retry_after_ms: None,
+    };
+    let mut reply = json(error.status(), problem.write());
+    let headers = reply.headers_mut();
+    if let BadRequest::Method { allowed } = error
+        && let Ok(allowed) = HeaderValue::from_str(allowed.as_str())
+    {
+        headers.insert(header::ALLOW, allowed);
+    }
+    if error.ends_connection() {
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    reply
+}
+
+fn refused(refusal: &Refusal) -> Reply {
+    let problem = Problem {
+        result: NOT_RUN,
+        reason: Some(refusal.reason.as_str()),
+        detail: None,
+        retry_after_ms: refusal.retry_after.map(json::millis),
+    };
+    let reply = json(status(refusal.reason), problem.write());
+    match refusal.retry_after {
+        Some(time) => with_retry_after(reply, time),
+        None => reply,
+    }
+}
+
+/// Adds `retry-after` in whole seconds, rounded up.
+fn with_retry_after(mut reply: Reply, time: Duration) -> Reply {
+    let seconds = time.as_secs() + u64::from(time.subsec_nanos() > 0);
+    let headers = reply.headers_mut();
+    headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    reply
+}
+
+/// Returns the status that goes with a reason.
+fn status(reason: Reason) -> StatusCode {
+    match reason {
+        Reason::NoEntry => StatusCode::NOT_FOUND,
+        Reason::WrongClass => StatusCode::BAD_REQUEST,
+        Reason::BodySize => StatusCode::PAYLOAD_TOO_LARGE,
+        Reason::KeyReused => StatusCode::CONFLICT,
+        Reason::RateLimit | Reason::ConcurrencyLimit | Reason::Quarantined => {
+            StatusCode::TOO_MANY_REQUESTS
+        }
+        Reason::NotReady
+        | Reason::Overload
+        | Reason::NoSnapshot
+        | Reason::NoUpstream
+        | Reason::PlatformUnavailable
+        | Reason::ClaimsFull
+        | Reason::DeadlinePassed
+        | Reason::Draining => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
--- /dev/null
+++ b/crates/front/src/call.rs
@@ -0,0 +1,171 @@
+//! Requests of callers, checked and turned into calls of the reducer.
+
+use std::time::Duration;
+
+use base::{EntryName, IdempotencyKey, RequestId};
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, HeaderName, Method, header, request::Parts};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
+use node::Call;
+use snafu::ResultExt;
+
+use crate::error::{BadRequest, EntrySnafu};
+
+static DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
+static KEY: HeaderName = HeaderName::from_static("idempotency-key");
+
+/// Start of the path of an entry.
+const ENTRIES: &str = "/v1/entries/";
+
+/// What a caller asks of an entry, without the body.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) struct Ask {
+    entry: EntryName,
+    deadline: Option<Duration>,
+    /// Key of a request that runs at most once; a search has none.
+    key: Option<IdempotencyKey>,
+}
+
+impl Ask {
+    /// Reads path and headers; `None` when the path is not of an entry.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the path is of an entry but the request is wrong in form.
+    pub(crate) fn read(head: &Parts) -> Result<Option<Self>, BadRequest> {
+        let Some(rest) = head.uri.path().strip_prefix(ENTRIES) else {
+            return Ok(None);
+        };
+        let (entry, run) = match rest.split_once('/') {
+            Some((entry, "search")) => (entry, false),
+            Some((entry, "run")) => (entry, true),
+            _ => return Err(BadRequest::UnknownPath),
+        };
+        if head.method != Method::POST {
+            let allowed = Method::POST;
+            return Err(BadRequest::Method { allowed });
+        }
+        let entry = entry.parse().context(EntrySnafu)?;
+        let deadline = field(&head.headers, &DEADLINE, "deadline-ms")?
+            .map(parse_deadline)
+            .transpose()?;
+        let key = if run { Some(key(&head.headers)?) } else { None };
+        Ok(Some(Self {
+            entry,
+            deadline,
+            key,
+        }))
+    }
+
+    /// Returns the entry that is asked.
+    pub(crate) fn entry(&self) -> &EntryName {
+        &self.entry
+    }
+
+    /// Makes the call for the reducer.
+    pub(crate) fn into_call(self, request: RequestId, body: Bytes) -> Call {
+        let Self {
+            entry,
+            deadline,
+            key,
+        } = self;
+        match key {
+            Some(key) => Call::Run {
+                request,
+                entry,
+                deadline,
+                key,
+                body,
+            },
+            None => Call::Search {
+                request,
+                entry,
+                deadline,
+                body,
+            },
+        }
+    }
+}
+
+fn key(headers: &HeaderMap) -> Result<IdempotencyKey, BadRequest> {
+    const NAME: &str = "idempotency-key";
+    let text = field(headers, &KEY, NAME)?.ok_or(BadRequest::KeyMissing)?;
+    text.parse()
+        .map_err(|error: base::id::IdError| bad_header(NAME, error.to_string()))
+}
+
+fn parse_deadline(text: &str) -> Result<Duration, BadRequest> {
+    text.parse()
+        .map(Duration::from_millis)
+        .map_err(|_| bad_header("deadline-ms", "expected a number of milliseconds"))
+}
+
+/// Returns the text of a header that may occur once.
+fn field<'a>(
+    headers: &'a HeaderMap,
+    header: &HeaderName,
+    name: &'static str,
+) -> Result<Option<&'a str>, BadRequest> {
+    let mut values = headers.get_all(header).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(bad_header(name, "given more than once"));
+    }
+    match value.to_str() {
+        Ok(text) => Ok(Some(text)),
+        Err(_) => Err(bad_header(name, "expected plain text")),
+    }
+}
+
+fn bad_header(name: &'static str, problem: impl Into<Box<str>>) -> BadRequest {
+    let problem = problem.into();
+    BadRequest::Header { name, problem }
+}
+
+/// Reads a body of at most `limit` bytes.
+///
+/// # Errors
+///
+/// Fails when the body is larger, does not arrive in time or breaks off.
+pub(crate) async fn read_body(
+    head: &Parts,
+    body: Incoming,
+    limit: usize,
+    time: Duration,
+) -> Result<Bytes, BadRequest> {
+    if body.size_hint().lower() > limit as u64 {
+        return Err(BadRequest::BodySize { limit });
+    }
+    if body.is_end_stream() && !head.headers.contains_key(header::TRANSFER_ENCODING) {
+        return Ok(Bytes::new());
+    }
+    match compio::time::timeout(time, collect(body, limit)).await {
+        Ok(result) => result,
+        Err(_) => Err(BadRequest::BodyTimeout),
+    }
+}
+
+async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, BadRequest> {
+    let mut first = Bytes::new();
+    let mut all = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BadRequest::BodyBroken)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if first.len() + all.len() + data.len() > limit {
+            return Err(BadRequest::BodySize { limit });
+        }
+        if first.is_empty() && all.is_empty() {
+            // A body in one piece is not copied.
+            first = data;
+        } else {
+            all.extend_from_slice(&std::mem::take(&mut first));
+            all.extend_from_slice(&data);
+        }
+    }
+    Ok(if all.is_empty() { first } else { all.freeze() })
+}
--- a/crates/up/examples/load.rs
+++ b/crates/up/examples/load.rs
@@ -14,6 +14,7 @@
 use node::{Echo, Event, Send, SubRequest, UpstreamEvent};
 use up::{Pools, Settings};
 
+#[expect(dead_code, reason = "the tests use the rest")]
 #[path = "../tests/fake.rs"]
 mod fake;
 
--- /dev/null
+++ b/crates/up/tests/exact.rs
@@ -0,0 +1,183 @@
+//! What is certain about requests that failed.
+
+use std::{
+    net::TcpListener,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use node::{Failure, UpstreamEvent};
+use up::Settings;
+
+use crate::{
+    fake::{Fake, reply},
+    rig::{Rig, block_on, until},
+};
+
+#[test]
+fn refused_connection_is_connect() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    block_on(async {
+        let mut rig = Rig::new(Settings::default());
+        rig.search(address, 2, 1000);
+        rig.run(address, 2, 1000);
+        assert_eq!(rig.failure().await, Failure::Connect);
+        assert_eq!(rig.failure().await, Failure::Connect);
+        rig.quiet(Duration::from_millis(20)).await;
+        assert_eq!(rig.pools.connections(), 0);
+    });
+}
+
+#[test]
+fn close_after_the_request_is_broken_and_never_resent() {
+    let fake = Fake::start(|_| None);
+    block_on(async {
+        let mut rig = Rig::new(Settings::default());
+        rig.search(fake.address, 2, 1000);
+        assert_eq!(rig.failure().await, Failure::Broken);
+        rig.run(fake.address, 2, 1000);
+        assert_eq!(rig.failure().await, Failure::Broken);
+        rig.quiet(Duration::from_millis(30)).await;
+        assert_eq!(fake.requests(), 2);
+    });
+}
+
+#[test]
+fn timeout_after_the_request_is_broken_and_closes() {
+    let fake = Fake::start(|request| {
+        thread::sleep(Duration::from_millis(120));
+        Some(request.found("[]"))
+    });
+    block_on(async {
+        let mut rig = Rig::new(Settings::default());
+        rig.run(fake.address, 2, 30);
+        assert_eq!(rig.failure().await, Failure::Broken);
+        until(|| rig.pools.connections() == 0).await;
+        rig.quiet(Duration::from_millis(150)).await;
+        assert_eq!(fake.requests(), 1);
+    });
+}
+
+#[test]
+fn no_permitted_connection_is_connect() {
+    let fake = Fake::start(|request| Some(request.found("[]")));
+    block_on(async {
+        let mut rig = Rig::new(Settings::default());
+        rig.run(fake.address, 0, 30);
+        assert_eq!(rig.failure().await, Failure::Connect);
+        assert_eq!(fake.accepted(), 0);
+    });
+}
+
+/// An upstream that closes its first connection under the request that comes once `closed` is set.
+fn closing_upstream(closed: &Arc<AtomicBool>) -> Fake {
+    let closed = Arc::clone(closed);
+    Fake::start(move |request| {
+        if closed.load(Ordering::SeqCst) && request.connection == 0 {
+            return None;
+        }
+        Some(request.valid_reply())
+    })
+}
+
+#[test]
+fn requests_on_closed_idle_connections_run_at_most_once() {
+    // The upstream closes idle connections at every moment around the next request.
+    for delay_us in [0, 50, 100, 200, 400, 800, 1600] {
+        let fake = Fake::start_closing(Duration::from_micros(delay_us));
+        block_on(async {
+            let mut rig = Rig::new(Settings::default());
+            for round in 0..20u64 {
+                let before = fake.requests();
+                rig.search(fake.address, 1, 1000);
+                assert!(matches!(
+                    rig.report().await.1,
+                    UpstreamEvent::Replied(_) | UpstreamEvent::Failed(_)
+                ));
+                thread::sleep(Duration::from_micros(round * 40));
+                let sent = fake.requests();
+                assert!(sent - before <= 2);
+                rig.run(fake.address, 1, 1000);
+                match rig.report().await.1 {
+                    UpstreamEvent::Ran { .. } => assert_eq!(fake.requests() - sent, 1),
+                    UpstreamEvent::Failed(Failure::Connect) => {
+                        compio::time::sleep(Duration::from_millis(3)).await;
+                        assert_eq!(fake.requests(), sent, "not sent, but it arrived");
+                    }
+                    UpstreamEvent::Failed(Failure::Broken) => {
+                        assert!(fake.requests() - sent <= 1);
+                    }
+                    other => panic!("unexpected {other:?}"),
+                }
+            }
+        });
+    }
+}
+
+#[test]
+fn connection_that_breaks_under_a_request_is_broken() {
+    let closed = Arc::new(AtomicBool::new(false));
+    let fake = closing_upstream(&closed);
+    block_on(async {
+        let mut rig = Rig::new(Settings::default());
+        rig.run(fake.address, 1, 1000);
+        assert!(matches!(rig.report().await.1, UpstreamEvent::Ran { .. }));
+        closed.store(true, Ordering::SeqCst);
+        rig.run(fake.address, 1, 1000);
+        assert_eq!(rig.failure().await, Failure::Broken);
+        rig.search(fake.address, 1, 1000);
+        assert!(matches!(rig.report().await.1, UpstreamEvent::Replied(_)));
+        assert_eq!((fake.requests(), fake.accepted()), (3, 2));
+    });
+}
+
+#[test]
+fn crossed_reply_is_malformed_and_closes() {
+    for (wrong, right) in [
+        (
+            "request-id: 00000000000000000000000000000abc-9",
+            "snapshot: 7\r\nshard: s-1",
+        ),
+        (
+            "request-id: 00000000000000000000000000000abd-1",
+            "snapshot: 7\r\nshard: s-1",
+        ),
+        (
+            "snapshot: 8",
+            "request-id: 00000000000000000000000000000abc-1\r\nshard: s-1",
+        ),
+        (
+            "shard: s-2",
+            "request-id: 00000000000000000000000000000abc-1\r\nsnapshot: 7",
+        ),
+        (
+            "x: y",
+            "request-id: 00000000000000000000000000000abc-1\r\nsnapshot: 7",
+        ),
+    ] {
+        let fake = Fake::start(move |_| Some(reply(200, &format!("{wrong}\r\n{right}\r\n"), "[]")));
+        block_on(async {
+            let mut rig = Rig::new(Settings::default());
+            rig.search(fake.address, 1, 1000);
+            assert_eq!(rig.failure().await, Failure::Malformed, "{wrong}");
+            until(|| rig.pools.connections() == 0 && fake.open() == 0).await;
+        });
+    }
+}
+
+#[test]
+fn crossed_refusal_of_a_run_does_not_count_as_not_started() {
+    let fake = Fake::start(|_| Some(reply(503, "request-id: ff\r\n", "")));
+    block_on(async {
+        let mut rig = Rig::new(Settings::default());
+        rig.run(fake.address, 1, 1000);
+        assert_eq!(rig.failure().await, Failure::Malformed);
+        until(|| fake.open() == 0).await;
+    });
+}
--- a/crates/up/tests/fake.rs
+++ b/crates/up/tests/fake.rs
@@ -8,6 +8,7 @@
         atomic::{AtomicUsize, Ordering},
     },
     thread,
+    time::Duration,
 };
 
 /// One request as it arrived.
@@ -37,6 +38,15 @@
             .concat();
         reply(200, &headers, hits)
     }
+
+    /// Returns a valid reply to a search without hits, or to a run.
+    pub(crate) fn valid_reply(&self) -> Vec<u8> {
+        if self.head.starts_with("POST /v1/run") {
+            let id = format!("request-id: {}\r\n", self.header("request-id"));
+            return reply(200, &id, "{}");
+        }
+        self.found("[]")
+    }
 }
 
 /// Returns a reply; `headers` are whole lines.
@@ -69,9 +79,18 @@
 
 impl Fake {
     /// Starts an upstream; `handle` returns the reply, or `None` to close the connection.
-    pub(crate) fn start(handle: impl Fn(&Request) -> Option<Vec<u8>> + Send + Sync + 'static) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
+    pub(crate) fn start(
+        handle: impl Fn(&Request) -> Option<Vec<u8>> + Send + Sync + 'static,
+    ) -> Self {
+        Self::start_with(handle, None)
+    }
+
+    fn start_with(
+        handle: impl Fn(&Request) -> Option<Vec<u8>> + Send + Sync + 'static,
+        close: Option<Duration>,
+    ) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
         let counts = Arc::new(Counts::default());
         let (seen, handle) = (Arc::clone(&counts), Arc::new(handle));
         thread::spawn(move || {
@@ -81,7 +100,9 @@
                 seen.most_open.fetch_max(open, Ordering::SeqCst);
                 let (seen, handle) = (Arc::clone(&seen), Arc::clone(&handle));
                 thread::spawn(move || {
-                    serve(stream.unwrap(), number, &seen, &*handle);
+                    if let Ok(stream) = stream {
+                        serve(stream, number, &seen, &*handle, close);
+                    }
                     seen.open.fetch_sub(1, Ordering::SeqCst);
                 });
             }
@@ -89,6 +110,13 @@
         Self { address, counts }
     }
 
+    /// Starts an upstream that closes each connection some time after its first reply.
+    ///
+    /// A request that arrives in this time is read and counted, but not answered.
+    pub(crate) fn start_closing(delay: Duration) -> Self {
+        Self::start_with(|request| Some(request.valid_reply()), Some(delay))
+    }
+
     /// Returns the number of connections accepted.
     pub(crate) fn accepted(&self) -> usize {
         self.counts.accepted.load(Ordering::SeqCst)
@@ -110,8 +138,9 @@
     connection: usize,
     counts: &Counts,
     handle: &dyn Fn(&Request) -> Option<Vec<u8>>,
+    close: Option<Duration>,
 ) {
-    stream.set_nodelay(true).unwrap();
+    let _ = stream.set_nodelay(true);
     let mut buf = Vec::new();
     while let Some(request) = read(&mut stream, &mut buf, connection) {
         counts.requests.fetch_add(1, Ordering::SeqCst);
@@ -119,6 +148,13 @@
             Some(reply) if stream.write_all(&reply).is_ok() => {}
             _ => return,
         }
+        if let Some(delay) = close {
+            thread::sleep(delay);
+            let late = stream.set_nonblocking(true).is_ok()
+                && read(&mut stream, &mut buf, connection).is_some();
+            counts.requests.fetch_add(late.into(), Ordering::SeqCst);
+            return;
+        }
     }
 }
 
@@ -128,7 +164,7 @@
         if let Some(end) = buf.windows(4).position(|w| w == b"\r\n\r\n") {
             let mut request = Request {
                 connection,
-                head: String::from_utf8(buf[..end].to_vec()).unwrap(),
+                head: String::from_utf8_lossy(&buf[..end]).into_owned(),
                 body: Vec::new(),
             };
             let length = request.header("content-length").parse().unwrap_or(0);
--- /dev/null
+++ b/crates/up/tests/rig.rs
@@ -0,0 +1,126 @@
+//! Pools with the events that they report.
+
+use std::{cell::Cell, future::Future, net::SocketAddr, time::Duration};
+
+use base::{AttemptId, RequestId, SnapshotId};
+use bytes::Bytes;
+use compio::{runtime::Runtime, time::timeout};
+use futures_channel::mpsc::{self, UnboundedReceiver};
+use futures_util::StreamExt;
+use node::{Echo, Event, Failure, Send, SubRequest, UpstreamEvent};
+use up::{Pools, Settings};
+
+/// Longest wait for an event that must come.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// Pools under test.
+pub(crate) struct Rig {
+    /// The pools.
+    pub(crate) pools: Pools,
+    reports: UnboundedReceiver<Event>,
+    last: Cell<AttemptId>,
+}
+
+impl Rig {
+    /// Makes pools with the given limits.
+    pub(crate) fn new(settings: Settings) -> Self {
+        let (events, reports) = mpsc::unbounded();
+        Self {
+            pools: Pools::new(settings, events),
+            reports,
+            last: Cell::default(),
+        }
+    }
+
+    /// Sends a search.
+    pub(crate) fn search(&self, to: SocketAddr, connections: u32, timeout_ms: u64) -> AttemptId {
+        let attempt = self.next();
+        let sub = SubRequest::Search {
+            echo: echo(attempt),
+            limit: 5,
+            body: Bytes::from_static(b"{\"query\":\"harp\"}"),
+        };
+        self.send(attempt, to, connections, timeout_ms, sub)
+    }
+
+    /// Sends a request that must run at most once.
+    pub(crate) fn run(&self, to: SocketAddr, connections: u32, timeout_ms: u64) -> AttemptId {
+        let attempt = self.next();
+        let sub = SubRequest::Run {
+            request: RequestId(u128::from(attempt.0)),
+            key: "order-1".parse().unwrap(),
+            body: Bytes::from_static(b"{}"),
+        };
+        self.send(attempt, to, connections, timeout_ms, sub)
+    }
+
+    /// Waits for the next event of an attempt.
+    pub(crate) async fn report(&mut self) -> (AttemptId, UpstreamEvent) {
+        match timeout(PATIENCE, self.reports.next()).await.unwrap() {
+            Some(Event::Upstream(attempt, event)) => (attempt, event),
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+
+    /// Waits for the next event, which must be a failure.
+    pub(crate) async fn failure(&mut self) -> Failure {
+        match self.report().await {
+            (_, UpstreamEvent::Failed(failure)) => failure,
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+
+    /// Checks that no event comes for a while.
+    pub(crate) async fn quiet(&mut self, time: Duration) {
+        let event = timeout(time, self.reports.next()).await;
+        assert!(event.is_err(), "unexpected {event:?}");
+    }
+
+    fn next(&self) -> AttemptId {
+        self.last.set(self.last.get().next());
+        self.last.get()
+    }
+
+    fn send(
+        &self,
+        attempt: AttemptId,
+        address: SocketAddr,
+        connections: u32,
+        timeout_ms: u64,
+        sub: SubRequest,
+    ) -> AttemptId {
+        self.pools.send(Send {
+            attempt,
+            address,
+            connections,
+            timeout: Duration::from_millis(timeout_ms),
+            sub,
+        });
+        attempt
+    }
+}
+
+/// Returns the identity that the search of an attempt has.
+pub(crate) fn echo(attempt: AttemptId) -> Echo {
+    Echo {
+        request: RequestId(0xabc),
+        attempt: attempt.0,
+        snapshot: SnapshotId(7),
+        shard: "s-1".parse().unwrap(),
+    }
+}
+
+/// Runs a test in a runtime of its own.
+pub(crate) fn block_on<F: Future>(test: F) -> F::Output {
+    Runtime::new().unwrap().block_on(test)
+}
+
+/// Waits until a condition holds.
+pub(crate) async fn until(mut condition: impl FnMut() -> bool) {
+    let wait = async {
+        while !condition() {
+            compio::time::sleep(Duration::from_millis(1)).await;
+        }
+    };
+    timeout(PATIENCE, wait).await.unwrap();
+}
