--- a/crates/briarcove/src/serve/shell.rs
+++ b/crates/briarcove/src/serve/shell.rs
@@ -7,7 +7,7 @@
 
 use base::{Incarnation, OpId, Time};
 use compio::{net::TcpListener, runtime::spawn, signal::unix::signal, time::timeout};
-use front::Front;
+use front::{Front, Status};
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::StreamExt;
 use node::{Config, Effect, Event, Identity, Node, PlatformOp};
@@ -69,9 +69,9 @@
         let platform_cfg =
             plat::Settings { timeout: cfg.platform.timeout, ..plat::Settings::new(cfg.platform.address) };
         let front_cfg = front::Settings {
-            max_body: cfg.callers.max_body,
+            max_body: usize::try_from(cfg.callers.max_body.0).unwrap_or(usize::MAX),
             max_connections: cfg.callers.max_connections as usize,
-            ..front::Settings::new(cfg.instance.clone(), cfg.data_centre.clone())
+            ..front::Settings::default()
         };
         let links = peer::Links::new(
             cfg.instance.clone(),
@@ -191,6 +191,8 @@
             return;
         }
         self.published = now;
-        self.front.publish(self.node.stats(), self.pools.connections());
+        let (instance, data_centre) = (self.cfg.instance.clone(), self.cfg.data_centre.clone());
+        let uptime = self.clock.elapsed();
+        self.front.publish(Status::new(instance, data_centre, uptime, self.node.stats()));
     }
 }
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -1,30 +1,258 @@
 //! Peers: their messages, and what changes when members come and go.
 
-use base::{InstanceName, Time};
-use wire::Body;
+use std::{collections::HashMap, time::Duration};
+
+use base::{DataCentre, Incarnation, InstanceName, ServiceName, Time};
+use wire::{Body, Envelope, Heartbeat, LeavingUpstream, Quarantined};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    attempt::AttemptKey,
+    attempt::{AttemptKey, Stage},
     directory::UpstreamId,
     effect::{Effect, Note},
+    members::Hints,
     node::Node,
+    owners::Local,
+    search::Ended,
+    store::Cx,
 };
 
+/// How long a peer that was silent while it had work is passed over.
+const SILENCE_KEPT: Duration = Duration::from_millis(500);
+
+/// Shortest silence of a peer with work that counts.
+const MIN_SILENCE: Duration = Duration::from_millis(30);
+
+/// When each peer was last heard, and which ones are passed over.
+#[derive(Debug, Default)]
+pub(crate) struct Silence {
+    heard: HashMap<InstanceName, Time>,
+    until: HashMap<InstanceName, Time>,
+}
+
 impl Node {
-    /// Sends a message to a peer whose address is known.
-    pub(crate) fn tell(&mut self, peer: &InstanceName, body: Body, effects: &mut Vec<Effect>) {
-        let _ = (peer, body, effects);
+    /// Takes a peer's message.
+    pub(crate) fn on_peer(&mut self, now: Time, envelope: Envelope, effects: &mut Vec<Effect>) {
+        let Ok(from) = envelope.from.parse::<InstanceName>() else {
+            return effects.push(Effect::Note(Note::BadMessage("a sender without a name".into())));
+        };
+        if matches!(envelope.body, Some(Body::Heartbeat(_))) {
+            let hints = self.hints(now);
+            self.members.on_heartbeat(now, &envelope, &hints, effects);
+        } else {
+            let incarnation = Incarnation(envelope.incarnation);
+            self.members.on_message(now, &from, incarnation, effects);
+        }
+        self.silence.until.remove(&from);
+        self.silence.heard.insert(from.clone(), now);
+        self.follow_view(now, effects);
+        match envelope.body {
+            Some(Body::Heartbeat(heartbeat)) => self.on_hints(now, &heartbeat, effects),
+            Some(Body::Pull(pull)) => {
+                if let Some(address) = self.members.address(&from) {
+                    self.sync.on_pull(now, address, pull);
+                }
+            }
+            Some(Body::Objects(objects)) => {
+                let mut cx = Cx { now, ops: &mut self.ops, effects };
+                let changes = self.sync.on_objects(&mut cx, &from, objects, &mut self.store);
+                self.take_changes(now, changes, effects);
+            }
+            Some(Body::Relay(relay)) => self.on_relay(now, &from, relay, effects),
+            Some(Body::Relayed(relayed)) => self.on_relayed(now, &from, relayed, effects),
+            Some(Body::Cancel(cancel)) => self.on_cancel(now, &from, cancel.attempts, effects),
+            Some(Body::Handover(m)) => self.on_handover(&from, &m.upstreams, effects),
+            Some(Body::Released(m)) => self.on_released(now, &from, &m.upstreams, effects),
+            Some(Body::Claim(_) | Body::Claimed(_)) => {}
+            None => self.bad_message(&from, "a message without a body", effects),
+        }
     }
 
-    /// Returns the instance that brings work closer to an upstream.
-    pub(crate) fn next_hop(&self, upstream: UpstreamId) -> Option<InstanceName> {
-        self.owners.owner(upstream).cloned()
+    /// Does what is due of the membership and of handovers.
+    pub(crate) fn tick_members(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.members.next_wake() <= now {
+            let hints = self.hints(now);
+            self.members.on_tick(now, &hints, effects);
+            self.follow_view(now, effects);
+        }
+        for ask in self.owners.asks(now) {
+            let name = |id: &UpstreamId| self.directory.names().name(*id).to_string();
+            let upstreams = ask.upstreams.iter().map(name).collect();
+            self.tell(&ask.previous, Body::Handover(wire::Handover { upstreams }), effects);
+        }
+    }
+
+    /// Returns the news that heartbeats carry.
+    pub(crate) fn hints(&self, now: Time) -> Hints {
+        let leaving = self.upstreams.iter().filter_map(|upstream| {
+            let age = upstream.leaving_age(now)?;
+            Some(LeavingUpstream {
+                upstream: self.directory.names().name(upstream.declared.id).to_string(),
+                age_ms: millis(age),
+            })
+        });
+        let quarantine = self.quarantine.records(now).map(|(fingerprint, broke, left)| Quarantined {
+            fingerprint,
+            broke: broke.iter().map(ToString::to_string).collect(),
+            left_ms: millis(left),
+        });
+        Hints {
+            seen: self.store.newest(),
+            leaving_upstreams: leaving.collect(),
+            quarantine: quarantine.collect(),
+        }
+    }
+
+    fn on_hints(&mut self, now: Time, heartbeat: &Heartbeat, effects: &mut Vec<Effect>) {
+        for news in &heartbeat.leaving_upstreams {
+            let name = news.upstream.parse().ok();
+            if let Some(id) = name.and_then(|name| self.directory.names().get(&name)) {
+                self.upstream_leaving(now, id, Duration::from_millis(news.age_ms), effects);
+            }
+        }
+        for record in &heartbeat.quarantine {
+            let broke: Vec<_> = record.broke.iter().filter_map(|name| name.parse().ok()).collect();
+            let left = Duration::from_millis(record.left_ms);
+            if self.quarantine.merge(now, record.fingerprint, &broke, left) {
+                effects.push(Effect::Note(Note::Quarantined(record.fingerprint)));
+            }
+        }
+    }
+
+    /// Brings owners and routes up to date when the view of the members has changed.
+    pub(crate) fn follow_view(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let fresh = self.members.view_is_fresh(now);
+        let epoch = self.members.epoch();
+        if self.view == (epoch, fresh) {
+            return;
+        }
+        let woke = self.view.1 && !fresh;
+        self.view = (epoch, fresh);
+        if woke {
+            // Others may have taken over what this instance held while it stood still.
+            self.owners.drop_all();
+        }
+        self.assign_owners(now, effects);
+    }
+
+    /// Assigns owners after a change of the members or of the catalogue.
+    pub(crate) fn assign_owners(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.stats.peers_live = self.members.live_peers() as u64;
+        let home = self.identity.data_centre.clone();
+        let mut members: Vec<InstanceName> = self.members.live_in(&home).cloned().collect();
+        if !self.stats.draining {
+            members.push(self.identity.instance.clone());
+        }
+        members.sort_unstable();
+        if self.view.1 {
+            let locals = self.locals(&home);
+            self.owners.assign(now, &locals, &members);
+        }
+        self.update_routes();
+        self.end_lost_relays(now, effects);
+        let ids: Vec<UpstreamId> = self.upstreams.iter().map(|u| u.declared.id).collect();
+        for id in ids {
+            self.pump(now, id, effects);
+        }
+    }
+
+    /// Returns the upstreams of the home data centre by service, sorted by name.
+    fn locals(&self, home: &DataCentre) -> Vec<Vec<Local<'_>>> {
+        let mut services: HashMap<&ServiceName, Vec<Local<'_>>> = HashMap::new();
+        for upstream in self.upstreams.iter().filter(|u| u.declared.data_centre == *home) {
+            let id = upstream.declared.id;
+            let local = Local { id, name: self.directory.names().name(id) };
+            services.entry(&upstream.declared.service).or_default().push(local);
+        }
+        for upstreams in services.values_mut() {
+            upstreams.sort_unstable_by_key(|local| local.name);
+        }
+        services.into_values().collect()
+    }
+
+    fn update_routes(&mut self) {
+        let ids: Vec<UpstreamId> = self.upstreams.iter().map(|u| u.declared.id).collect();
+        for id in ids {
+            let reachable = self.owners.queues(id) || self.next_hop(id).is_some();
+            if let Some(upstream) = self.upstreams.get_mut(id) {
+                upstream.reachable = reachable;
+            }
+        }
+    }
+
+    /// Ends the attempts that were relayed to members which are gone.
+    fn end_lost_relays(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let is_lost = |stage: &Stage| match stage {
+            Stage::Relayed(peer) => self.members.address(peer).is_none(),
+            Stage::Queued | Stage::Sent | Stage::Cancelled => false,
+        };
+        let lost: Vec<AttemptKey> =
+            self.attempts.iter().filter(|(_, a)| is_lost(&a.stage)).map(|(key, _)| key).collect();
+        for key in lost {
+            self.queued_ended(now, key, Ended::Invalid, effects);
+        }
+    }
+
+    /// Returns the instance that brings work closer to an upstream: its owner, or an instance of
+    /// its data centre.
+    pub(crate) fn next_hop(&self, id: UpstreamId) -> Option<InstanceName> {
+        let upstream = self.upstreams.get(id)?;
+        if upstream.declared.data_centre == self.identity.data_centre {
+            return self.owners.owner(id).filter(|o| **o != self.identity.instance).cloned();
+        }
+        let name = self.directory.names().name(id).as_str();
+        let weight = |m: &&InstanceName| {
+            xxh3_64_with_seed(name.as_bytes(), xxh3_64_with_seed(m.as_str().as_bytes(), 0))
+        };
+        self.members.live_in(&upstream.declared.data_centre).max_by_key(weight).cloned()
+    }
+
+    /// Sends a message to a peer whose address is known.
+    pub(crate) fn tell(&mut self, peer: &InstanceName, body: Body, effects: &mut Vec<Effect>) {
+        if let Some(address) = self.members.address(peer) {
+            self.stats.peer_messages += 1;
+            effects.push(Effect::Peer(address, body));
+        }
     }
 
     /// Returns whether the view of the peers is recent enough to send to upstreams.
     pub(crate) fn is_view_fresh(&self, now: Time) -> bool {
-        let _ = now;
-        true
+        self.members.view_is_fresh(now)
+    }
+
+    fn on_handover(&mut self, from: &InstanceName, names: &[String], effects: &mut Vec<Effect>) {
+        let mut free = Vec::new();
+        for text in names {
+            let id = text.parse().ok().and_then(|name| self.directory.names().get(&name));
+            let Some(id) = id else {
+                free.push(text.clone());
+                continue;
+            };
+            self.owners.asked(id, from);
+            let busy = self.upstreams.get(id).is_some_and(|u| u.in_use > 0);
+            if !busy {
+                self.owners.release(id);
+                free.push(text.clone());
+            }
+        }
+        if !free.is_empty() {
+            self.tell(from, Body::Released(wire::Released { upstreams: free }), effects);
+        }
+    }
+
+    fn on_released(
+        &mut self,
+        now: Time,
+        from: &InstanceName,
+        names: &[String],
+        effects: &mut Vec<Effect>,
+    ) {
+        for text in names {
+            let id = text.parse().ok().and_then(|name| self.directory.names().get(&name));
+            if let Some(id) = id.filter(|id| self.owners.released(*id, from)) {
+                self.pump(now, id, effects);
+            }
+        }
     }
 
     /// Tells a new owner that an upstream is free, once nothing is in flight to it.
@@ -45,13 +273,33 @@
         problem: &str,
         effects: &mut Vec<Effect>,
     ) {
-        effects.push(Effect::Note(Note::BadMessage(
-            format!("{from}: {problem}").into(),
-        )));
+        effects.push(Effect::Note(Note::BadMessage(format!("{from}: {problem}").into())));
     }
 
     /// Notes that a peer has been silent while it had work of this instance.
     pub(crate) fn note_silence(&mut self, now: Time, key: AttemptKey) {
-        let _ = (now, key);
+        let Some(attempt) = self.attempts.get(key) else {
+            return;
+        };
+        let Stage::Relayed(peer) = &attempt.stage else {
+            return;
+        };
+        let heard_since = self.silence.heard.get(peer).is_some_and(|at| *at > attempt.sent);
+        if !heard_since && now.since(attempt.sent) >= MIN_SILENCE {
+            self.silence.until.insert(peer.clone(), now + SILENCE_KEPT);
+        }
+    }
+
+    /// Returns whether work for an upstream would go to a peer that is silent.
+    pub(crate) fn is_silent_route(&self, now: Time, id: UpstreamId) -> bool {
+        if self.silence.until.is_empty() || self.owners.queues(id) {
+            return false;
+        }
+        let peer = self.next_hop(id);
+        peer.is_some_and(|peer| self.silence.until.get(&peer).is_some_and(|until| *until > now))
     }
 }
+
+fn millis(length: Duration) -> u64 {
+    u64::try_from(length.as_millis()).unwrap_or(u64::MAX)
+}
