--- a/crates/briarcove/src/serve/shell.rs
+++ b/crates/briarcove/src/serve/shell.rs
@@ -1,6 +1,7 @@
 //! The outermost loop: the one place that reads the clock and carries out effects.
 
 use std::{
+    cell::Cell,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -104,10 +105,7 @@
         let _ = self.events.unbounded_send(Event::Tick);
         let mut effects = Vec::new();
         while self.turn(&mut effects).await == Flow::Continue {}
-        self.front.stop_accepting();
-        if timeout(self.cfg.shutdown.grace, self.front.drained()).await.is_err() {
-            warn!(self.log, "shutdown grace is over with requests in flight");
-        }
+        self.finish_callers(&mut effects).await;
         self.links.flush(FLUSH_WAIT).await;
     }
 
@@ -124,6 +122,28 @@
         .detach();
     }
 
+    /// Closes the callers' connections; requests that still arrive on them are refused.
+    async fn finish_callers(&mut self, effects: &mut Vec<Effect>) {
+        self.front.stop_accepting();
+        let end = self.now() + self.cfg.shutdown.grace;
+        let drained = Rc::new(Cell::new(false));
+        let (front, events, flag) =
+            (Rc::clone(&self.front), self.events.clone(), Rc::clone(&drained));
+        spawn(async move {
+            front.drained().await;
+            flag.set(true);
+            let _ = events.unbounded_send(Event::Tick);
+        })
+        .detach();
+        while !drained.get() {
+            if self.now() >= end {
+                warn!(self.log, "shutdown grace is over with callers' requests in flight");
+                return;
+            }
+            self.turn(effects).await;
+        }
+    }
+
     /// Handles the events that are there, or the next one, and carries out what follows.
     async fn turn(&mut self, effects: &mut Vec<Effect>) -> Flow {
         let event = self.next_event().await;
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -8,22 +8,9 @@
     effect::Effect,
     event::PlatformEvent,
     node::Node,
-    store::{Change, Cx, PeerNews, Peers},
+    store::{Change, Cx},
 };
 
-/// Membership of an instance without peers, which watches the platform itself.
-struct Alone;
-
-impl Peers for Alone {
-    fn news(&self) -> impl Iterator<Item = PeerNews<'_>> {
-        std::iter::empty()
-    }
-
-    fn watches(&self) -> bool {
-        true
-    }
-}
-
 impl Node {
     /// Takes the platform's answer to a call of this instance.
     pub(crate) fn on_platform(
@@ -49,7 +36,7 @@
             ops: &mut self.ops,
             effects,
         };
-        self.sync.poll(&mut cx, &Alone, &self.store);
+        self.sync.poll(&mut cx, &self.members, &self.store);
         self.stats.ready = self.store.head().is_some() && self.sync.is_ready(now, &self.store);
     }
 
@@ -64,7 +51,7 @@
             return;
         }
         if changes.iter().any(|c| !matches!(c, Change::Liveness(_))) {
-            self.rebuild(now);
+            self.rebuild(now, effects);
         }
         let services: Vec<ServiceName> = self.directory.services().cloned().collect();
         for service in services {
@@ -72,7 +59,7 @@
         }
     }
 
-    fn rebuild(&mut self, now: Time) {
+    fn rebuild(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let Some(head) = self.store.head().cloned() else {
             return;
         };
@@ -83,6 +70,7 @@
         let limits = head.catalogue.entries.iter().map(|e| (&e.name, &e.limits));
         self.admission.declare(now, limits);
         self.stats.revision = head.revision;
+        self.assign_owners(now, effects);
     }
 
     /// Takes the platform's list of the leaving upstreams of one service.
--- /dev/null
+++ b/crates/node/src/drain.rs
@@ -0,0 +1,37 @@
+//! Graceful shutdown: no new work, and the end once nothing is in flight.
+
+use std::time::Duration;
+
+use base::Time;
+
+use crate::{effect::Effect, node::Node};
+
+/// Longest wait for other instances to take over what this one owns.
+const HANDOVER_WAIT: Duration = Duration::from_secs(2);
+
+impl Node {
+    /// Starts the shutdown: new requests are refused, and peers stop relaying to this instance.
+    pub(crate) fn drain(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        if self.stats.draining {
+            return;
+        }
+        self.stats.draining = true;
+        self.draining_since = now;
+        let hints = self.hints(now);
+        self.members.leave(now, &hints, effects);
+        self.follow_view(now, effects);
+    }
+
+    /// Ends the instance once nothing is in flight and its upstreams are handed over.
+    pub(crate) fn stop_when_idle(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let idle = self.queries.is_empty() && self.attempts.is_empty();
+        let has_heirs = self.members.live_in(&self.identity.data_centre).next().is_some();
+        let waits = has_heirs
+            && self.owners.held() > 0
+            && now.since(self.draining_since) < HANDOVER_WAIT;
+        if idle && !waits && !self.stopped {
+            self.stopped = true;
+            effects.push(Effect::Stop);
+        }
+    }
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,6 +9,7 @@
 mod config;
 pub mod directory;
 mod dispatch;
+mod drain;
 pub mod effect;
 pub mod event;
 mod membership;
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -12,7 +12,7 @@
     effect::{Effect, Note},
     members::Hints,
     node::Node,
-    owners::Local,
+    owners::{Local, Owners},
     search::Ended,
     store::Cx,
 };
@@ -139,14 +139,18 @@
     pub(crate) fn assign_owners(&mut self, now: Time, effects: &mut Vec<Effect>) {
         self.stats.peers_live = self.members.live_peers() as u64;
         let home = self.identity.data_centre.clone();
+        let home_name = self.identity.instance.clone();
         let mut members: Vec<InstanceName> = self.members.live_in(&home).cloned().collect();
         if !self.stats.draining {
             members.push(self.identity.instance.clone());
         }
         members.sort_unstable();
         if self.view.1 {
-            let locals = self.locals(&home);
-            self.owners.assign(now, &locals, &members);
+            let mut owners = std::mem::replace(&mut self.owners, Owners::new(home_name));
+            owners.assign(now, &self.locals(&home), &members, |name| {
+                self.members.incarnation(name).is_some()
+            });
+            self.owners = owners;
         }
         self.update_routes();
         self.end_lost_relays(now, effects);
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -12,6 +12,8 @@
     directory::Directory,
     effect::Effect,
     event::{Call, Event},
+    members::{self, Epoch, Members, MembersConfig},
+    membership::Silence,
     owners::Owners,
     probe::Probes,
     quarantine::Quarantine,
@@ -42,6 +44,8 @@
 pub struct Config {
     /// Upkeep of the watched objects.
     pub sync: SyncConfig,
+    /// Membership.
+    pub members: MembersConfig,
 }
 
 /// What a timer is for.
@@ -68,12 +72,18 @@
     pub(crate) queries: SlotMap<QueryKey, Query>,
     pub(crate) attempts: Attempts,
     pub(crate) probes: Probes,
+    pub(crate) members: Members,
+    /// View of the members that owners and routes follow, and whether it was fresh.
+    pub(crate) view: (Epoch, bool),
+    pub(crate) silence: Silence,
     pub(crate) owners: Owners,
     pub(crate) outbox: Outbox,
     /// Attempts made for peers, by the peer and its own number for the attempt.
     pub(crate) relayed_in: HashMap<(InstanceName, u64), AttemptKey>,
     pub(crate) timers: Timers<Timer>,
     pub(crate) stats: Stats,
+    pub(crate) draining_since: Time,
+    pub(crate) stopped: bool,
 }
 
 impl Node {
@@ -81,6 +91,12 @@
     pub fn new(identity: Identity, cfg: Config, now: Time, seed: u64) -> Self {
         let name = identity.instance.clone();
         let owners = Owners::new(name.clone());
+        let me = members::Identity {
+            name: name.clone(),
+            data_centre: identity.data_centre.clone(),
+            address: identity.peers,
+            incarnation: identity.incarnation,
+        };
         Self {
             identity,
             ops: OpId::default(),
@@ -94,11 +110,16 @@
             queries: SlotMap::with_key(),
             attempts: Attempts::with_key(),
             probes: Probes::default(),
+            members: Members::new(cfg.members, me, now),
+            view: (Epoch::default(), false),
+            silence: Silence::default(),
             owners,
             outbox: Outbox::default(),
             relayed_in: HashMap::new(),
             timers: Timers::default(),
             stats: Stats::default(),
+            draining_since: Time::ZERO,
+            stopped: false,
         }
     }
 
@@ -143,15 +164,17 @@
             Event::CallerGone(call) => self.drop_call(now, call, effects),
             Event::Upstream(attempt, event) => self.on_upstream(now, attempt, event, effects),
             Event::Platform(op, event) => self.on_platform(now, op, event, effects),
-            Event::Peer(message) => {
-                let _ = message;
-            }
-            Event::Drain => self.stats.draining = true,
+            Event::Peer(message) => self.on_peer(now, message, effects),
+            Event::Drain => self.drain(now, effects),
         }
         self.fire_timers(now, effects);
         if !frequent {
+            self.tick_members(now, effects);
             self.poll_sync(now, effects);
         }
+        if self.stats.draining {
+            self.stop_when_idle(now, effects);
+        }
     }
 
     fn fire_timers(&mut self, now: Time, effects: &mut Vec<Effect>) {
@@ -165,10 +188,13 @@
 
     /// Returns the time at which the next [`Event::Tick`] is due, if any.
     pub fn next_wake(&self) -> Option<Time> {
-        [self.timers.next(), self.sync.next_wake()]
-            .into_iter()
-            .flatten()
-            .min()
+        let wakes = [
+            self.timers.next(),
+            self.sync.next_wake(),
+            Some(self.members.next_wake()),
+            self.owners.next_wake(),
+        ];
+        wakes.into_iter().flatten().min()
     }
 
     /// Returns counts and gauges.
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -73,7 +73,14 @@
     /// Assigns the upstreams of each service to the members of the data centre.
     ///
     /// `members` are the live members, sorted, with this instance among them unless it is leaving.
-    pub fn assign(&mut self, now: Time, services: &[Vec<Local<'_>>], members: &[InstanceName]) {
+    /// `is_present` tells whether an instance can still be asked for a handover.
+    pub fn assign(
+        &mut self,
+        now: Time,
+        services: &[Vec<Local<'_>>],
+        members: &[InstanceName],
+        is_present: impl Fn(&InstanceName) -> bool,
+    ) {
         let others: Vec<InstanceName> = members
             .iter()
             .filter(|m| **m != self.own)
@@ -88,7 +95,7 @@
                     Some(previous) if *previous != self.own => Some(previous),
                     _ => without_self.get(&upstream),
                 };
-                let previous = previous.filter(|p| others.contains(p)).cloned();
+                let previous = previous.filter(|p| is_present(p)).cloned();
                 self.settle(now, upstream, &owner, previous);
                 self.assigned.insert(upstream, owner);
             }
--- a/crates/node/src/search.rs
+++ b/crates/node/src/search.rs
@@ -334,8 +334,14 @@
                     .quarantine
                     .has_broken(now, fingerprint, self.directory.names().name(id))
         };
-        self.upstreams
-            .choose(now, wanted, desperate, skip, &mut self.rng)
+        let mut rng = self.rng.clone();
+        let responsive = |id: UpstreamId| skip(id) || self.is_silent_route(now, id);
+        let chosen = self
+            .upstreams
+            .choose(now, wanted, false, responsive, &mut rng)
+            .or_else(|| self.upstreams.choose(now, wanted, desperate, skip, &mut rng));
+        self.rng = rng;
+        chosen
     }
 
     /// Records that no upstream could be chosen for a part.
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -39,6 +39,8 @@
     pub in_use: u32,
     /// Attempts that wait for a slot, oldest first; ended ones are skipped.
     pub queue: VecDeque<AttemptKey>,
+    /// Whether this instance owns it or knows an instance to relay to.
+    pub reachable: bool,
     latency_us: u64,
     failures: u32,
     down_until: Time,
@@ -55,6 +57,7 @@
             outstanding: 0,
             in_use: 0,
             queue: VecDeque::new(),
+            reachable: true,
             latency_us: UNKNOWN_LATENCY_US,
             failures: 0,
             down_until: Time::ZERO,
@@ -127,6 +130,11 @@
             .any(|&(id, until)| id == snapshot && until > now)
     }
 
+    /// Returns whether the upstream may be asked for a snapshot, were its connections to work.
+    fn may_serve(&self, now: Time, snapshot: SnapshotId) -> bool {
+        self.reachable && !self.is_leaving(now) && !self.is_lacking(now, snapshot)
+    }
+
     /// Returns the expected wait of one more attempt, in microseconds, for comparison.
     fn load(&self) -> u64 {
         u64::from(self.outstanding + 1) * self.latency_us
@@ -192,13 +200,12 @@
     /// Returns whether an upstream can be asked for a snapshot now.
     pub fn can_serve(&self, now: Time, id: UpstreamId, snapshot: SnapshotId) -> bool {
         self.get(id)
-            .is_some_and(|u| !u.is_leaving(now) && !u.is_down(now) && !u.is_lacking(now, snapshot))
+            .is_some_and(|u| u.may_serve(now, snapshot) && !u.is_down(now))
     }
 
     /// Returns whether an upstream may be asked once everything better has been.
     fn may_serve(&self, now: Time, id: UpstreamId, snapshot: SnapshotId) -> bool {
-        self.get(id)
-            .is_some_and(|u| !u.is_leaving(now) && !u.is_lacking(now, snapshot))
+        self.get(id).is_some_and(|u| u.may_serve(now, snapshot))
     }
 
     /// Chooses the less loaded of two random candidates, from the home data centre if it has one.
