--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -25,10 +25,13 @@
     /// Ends the instance once nothing is in flight and its upstreams are handed over.
     pub(crate) fn stop_when_idle(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let idle = self.queries.is_empty() && self.attempts.is_empty();
-        let has_heirs = self.members.live_in(&self.identity.data_centre).next().is_some();
-        let waits = has_heirs
-            && self.owners.held() > 0
-            && now.since(self.draining_since) < HANDOVER_WAIT;
+        let has_heirs = self
+            .members
+            .live_in(&self.identity.data_centre)
+            .next()
+            .is_some();
+        let waits =
+            has_heirs && self.owners.held() > 0 && now.since(self.draining_since) < HANDOVER_WAIT;
         if idle && !waits && !self.stopped {
             self.stopped = true;
             effects.push(Effect::Stop);
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod drain;
 pub mod effect;
 pub mod event;
+pub mod members;
 mod membership;
 pub mod node;
 pub mod object;
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -34,7 +34,9 @@
     /// Takes a peer's message.
     pub(crate) fn on_peer(&mut self, now: Time, envelope: Envelope, effects: &mut Vec<Effect>) {
         let Ok(from) = envelope.from.parse::<InstanceName>() else {
-            return effects.push(Effect::Note(Note::BadMessage("a sender without a name".into())));
+            return effects.push(Effect::Note(Note::BadMessage(
+                "a sender without a name".into(),
+            )));
         };
         if matches!(envelope.body, Some(Body::Heartbeat(_))) {
             let hints = self.hints(now);
@@ -54,8 +56,14 @@
                 }
             }
             Some(Body::Objects(objects)) => {
-                let mut cx = Cx { now, ops: &mut self.ops, effects };
-                let changes = self.sync.on_objects(&mut cx, &from, objects, &mut self.store);
+                let mut cx = Cx {
+                    now,
+                    ops: &mut self.ops,
+                    effects,
+                };
+                let changes = self
+                    .sync
+                    .on_objects(&mut cx, &from, objects, &mut self.store);
                 self.take_changes(now, changes, effects);
             }
             Some(Body::Relay(relay)) => self.on_relay(now, &from, relay, effects),
@@ -78,7 +86,11 @@
         for ask in self.owners.asks(now) {
             let name = |id: &UpstreamId| self.directory.names().name(*id).to_string();
             let upstreams = ask.upstreams.iter().map(name).collect();
-            self.tell(&ask.previous, Body::Handover(wire::Handover { upstreams }), effects);
+            self.tell(
+                &ask.previous,
+                Body::Handover(wire::Handover { upstreams }),
+                effects,
+            );
         }
     }
 
@@ -87,15 +99,22 @@
         let leaving = self.upstreams.iter().filter_map(|upstream| {
             let age = upstream.leaving_age(now)?;
             Some(LeavingUpstream {
-                upstream: self.directory.names().name(upstream.declared.id).to_string(),
+                upstream: self
+                    .directory
+                    .names()
+                    .name(upstream.declared.id)
+                    .to_string(),
                 age_ms: millis(age),
             })
         });
-        let quarantine = self.quarantine.records(now).map(|(fingerprint, broke, left)| Quarantined {
-            fingerprint,
-            broke: broke.iter().map(ToString::to_string).collect(),
-            left_ms: millis(left),
-        });
+        let quarantine = self
+            .quarantine
+            .records(now)
+            .map(|(fingerprint, broke, left)| Quarantined {
+                fingerprint,
+                broke: broke.iter().map(ToString::to_string).collect(),
+                left_ms: millis(left),
+            });
         Hints {
             seen: self.store.newest(),
             leaving_upstreams: leaving.collect(),
@@ -111,7 +130,11 @@
             }
         }
         for record in &heartbeat.quarantine {
-            let broke: Vec<_> = record.broke.iter().filter_map(|name| name.parse().ok()).collect();
+            let broke: Vec<_> = record
+                .broke
+                .iter()
+                .filter_map(|name| name.parse().ok())
+                .collect();
             let left = Duration::from_millis(record.left_ms);
             if self.quarantine.merge(now, record.fingerprint, &broke, left) {
                 effects.push(Effect::Note(Note::Quarantined(record.fingerprint)));
@@ -163,10 +186,20 @@
     /// Returns the upstreams of the home data centre by service, sorted by name.
     fn locals(&self, home: &DataCentre) -> Vec<Vec<Local<'_>>> {
         let mut services: HashMap<&ServiceName, Vec<Local<'_>>> = HashMap::new();
-        for upstream in self.upstreams.iter().filter(|u| u.declared.data_centre == *home) {
+        for upstream in self
+            .upstreams
+            .iter()
+            .filter(|u| u.declared.data_centre == *home)
+        {
             let id = upstream.declared.id;
-            let local = Local { id, name: self.directory.names().name(id) };
-            services.entry(&upstream.declared.service).or_default().push(local);
+            let local = Local {
+                id,
+                name: self.directory.names().name(id),
+            };
+            services
+                .entry(&upstream.declared.service)
+                .or_default()
+                .push(local);
         }
         for upstreams in services.values_mut() {
             upstreams.sort_unstable_by_key(|local| local.name);
@@ -190,8 +223,12 @@
             Stage::Relayed(peer) => self.members.address(peer).is_none(),
             Stage::Queued | Stage::Sent | Stage::Cancelled => false,
         };
-        let lost: Vec<AttemptKey> =
-            self.attempts.iter().filter(|(_, a)| is_lost(&a.stage)).map(|(key, _)| key).collect();
+        let lost: Vec<AttemptKey> = self
+            .attempts
+            .iter()
+            .filter(|(_, a)| is_lost(&a.stage))
+            .map(|(key, _)| key)
+            .collect();
         for key in lost {
             self.queued_ended(now, key, Ended::Invalid, effects);
         }
@@ -202,13 +239,20 @@
     pub(crate) fn next_hop(&self, id: UpstreamId) -> Option<InstanceName> {
         let upstream = self.upstreams.get(id)?;
         if upstream.declared.data_centre == self.identity.data_centre {
-            return self.owners.owner(id).filter(|o| **o != self.identity.instance).cloned();
+            return self
+                .owners
+                .owner(id)
+                .filter(|o| **o != self.identity.instance)
+                .cloned();
         }
         let name = self.directory.names().name(id).as_str();
         let weight = |m: &&InstanceName| {
             xxh3_64_with_seed(name.as_bytes(), xxh3_64_with_seed(m.as_str().as_bytes(), 0))
         };
-        self.members.live_in(&upstream.declared.data_centre).max_by_key(weight).cloned()
+        self.members
+            .live_in(&upstream.declared.data_centre)
+            .max_by_key(weight)
+            .cloned()
     }
 
     /// Sends a message to a peer whose address is known.
@@ -227,7 +271,10 @@
     fn on_handover(&mut self, from: &InstanceName, names: &[String], effects: &mut Vec<Effect>) {
         let mut free = Vec::new();
         for text in names {
-            let id = text.parse().ok().and_then(|name| self.directory.names().get(&name));
+            let id = text
+                .parse()
+                .ok()
+                .and_then(|name| self.directory.names().get(&name));
             let Some(id) = id else {
                 free.push(text.clone());
                 continue;
@@ -240,7 +287,11 @@
             }
         }
         if !free.is_empty() {
-            self.tell(from, Body::Released(wire::Released { upstreams: free }), effects);
+            self.tell(
+                from,
+                Body::Released(wire::Released { upstreams: free }),
+                effects,
+            );
         }
     }
 
@@ -252,7 +303,10 @@
         effects: &mut Vec<Effect>,
     ) {
         for text in names {
-            let id = text.parse().ok().and_then(|name| self.directory.names().get(&name));
+            let id = text
+                .parse()
+                .ok()
+                .and_then(|name| self.directory.names().get(&name));
             if let Some(id) = id.filter(|id| self.owners.released(*id, from)) {
                 self.pump(now, id, effects);
             }
@@ -277,7 +331,9 @@
         problem: &str,
         effects: &mut Vec<Effect>,
     ) {
-        effects.push(Effect::Note(Note::BadMessage(format!("{from}: {problem}").into())));
+        effects.push(Effect::Note(Note::BadMessage(
+            format!("{from}: {problem}").into(),
+        )));
     }
 
     /// Notes that a peer has been silent while it had work of this instance.
@@ -288,7 +344,11 @@
         let Stage::Relayed(peer) = &attempt.stage else {
             return;
         };
-        let heard_since = self.silence.heard.get(peer).is_some_and(|at| *at > attempt.sent);
+        let heard_since = self
+            .silence
+            .heard
+            .get(peer)
+            .is_some_and(|at| *at > attempt.sent);
         if !heard_since && now.since(attempt.sent) >= MIN_SILENCE {
             self.silence.until.insert(peer.clone(), now + SILENCE_KEPT);
         }
@@ -300,7 +360,12 @@
             return false;
         }
         let peer = self.next_hop(id);
-        peer.is_some_and(|peer| self.silence.until.get(&peer).is_some_and(|until| *until > now))
+        peer.is_some_and(|peer| {
+            self.silence
+                .until
+                .get(&peer)
+                .is_some_and(|until| *until > now)
+        })
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -190,7 +190,7 @@
     pub fn next_wake(&self) -> Option<Time> {
         let wakes = [
             self.timers.next(),
-            self.sync.next_wake(),
+            Some(self.sync.next_wake()),
             Some(self.members.next_wake()),
             self.owners.next_wake(),
         ];
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -280,24 +280,6 @@
         }
     }
 
-    /// Ends the attempts that were relayed to a member which is gone.
-    pub(crate) fn fail_relayed_to(
-        &mut self,
-        now: Time,
-        peer: &InstanceName,
-        effects: &mut Vec<Effect>,
-    ) {
-        let lost: Vec<AttemptKey> = self
-            .attempts
-            .iter()
-            .filter(|(_, a)| matches!(&a.stage, Stage::Relayed(to) if to == peer))
-            .map(|(key, _)| key)
-            .collect();
-        for key in lost {
-            self.queued_ended(now, key, Ended::Invalid, effects);
-        }
-    }
-
     /// Sends what was collected during a batch of events.
     pub fn settle(&mut self, effects: &mut Vec<Effect>) {
         if self.outbox.relays.is_empty()
--- a/crates/node/src/search.rs
+++ b/crates/node/src/search.rs
@@ -339,7 +339,10 @@
         let chosen = self
             .upstreams
             .choose(now, wanted, false, responsive, &mut rng)
-            .or_else(|| self.upstreams.choose(now, wanted, desperate, skip, &mut rng));
+            .or_else(|| {
+                self.upstreams
+                    .choose(now, wanted, desperate, skip, &mut rng)
+            });
         self.rng = rng;
         chosen
     }
--- /dev/null
+++ b/crates/node/tests/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the reducer.
+
+mod search;
--- /dev/null
+++ b/crates/node/tests/search.rs
@@ -0,0 +1,152 @@
+//! Searches through one reducer: coverage, deadlines, hedges and broken upstreams.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cat::Class;
+use node::Answer;
+use rig::sim::{Fault, Scene, UpstreamPlan, World};
+
+fn found(world: &World, request: base::RequestId) -> (node::Found, Duration) {
+    match world.answers.get(&request) {
+        Some((Answer::Found(found), took)) => (found.clone(), *took),
+        other => panic!("no result of a search: {other:?}"),
+    }
+}
+
+fn search(world: &mut World, class: Class, body: &'static str) -> (node::Found, Duration) {
+    let request = world.search(
+        0,
+        &Scene::entry(class),
+        &Bytes::from_static(body.as_bytes()),
+    );
+    world.advance(Duration::from_secs(1));
+    found(world, request)
+}
+
+#[test]
+fn answers_with_every_shard() {
+    let mut world = Scene::default().world();
+    let (found, took) = search(&mut world, Class::Latency, "harp");
+    assert_eq!(found.coverage.answered, 8);
+    assert!(found.coverage.missing.is_empty());
+    assert!(took < Duration::from_millis(30), "took {took:?}");
+    assert!(
+        world.history.check().is_empty(),
+        "{:?}",
+        world.history.check()
+    );
+}
+
+#[test]
+fn reports_shards_without_a_live_replica() {
+    let scene = Scene {
+        replicas: 1,
+        ..Scene::default()
+    };
+    let mut world = scene.world();
+    search(&mut world, Class::Latency, "harp");
+    world.fault_in(Duration::ZERO, Fault::BreakUpstream { upstream: 0 });
+    let (found, took) = search(&mut world, Class::Latency, "harp");
+    assert_eq!(found.coverage.answered, 6);
+    assert_eq!(found.coverage.missing.len(), 2);
+    assert!(took <= Duration::from_millis(180), "took {took:?}");
+}
+
+#[test]
+fn coverage_class_asks_every_replica() {
+    let mut world = Scene::default().world();
+    search(&mut world, Class::Coverage, "harp");
+    for upstream in [0, 2] {
+        world.fault_in(Duration::ZERO, Fault::BreakUpstream { upstream });
+    }
+    let (found, _) = search(&mut world, Class::Coverage, "harp");
+    assert_eq!(
+        found.coverage.answered, 8,
+        "missing {:?}",
+        found.coverage.missing
+    );
+}
+
+#[test]
+fn crashing_request_breaks_at_most_two_upstreams() {
+    let scene = Scene {
+        upstreams: 8,
+        shards: 32,
+        ..Scene::default()
+    };
+    let mut world = scene.world();
+    for _ in 0..20 {
+        world.search(
+            0,
+            &Scene::entry(Class::Latency),
+            &Bytes::from_static(b"crash me"),
+        );
+        world.advance(Duration::from_millis(50));
+    }
+    let broken: u32 = (0..8).map(|u| world.times_broken(Scene::address(u))).sum();
+    assert!(broken <= 2, "{broken} upstreams broke");
+    let (found, _) = search(&mut world, Class::Latency, "harp");
+    assert_eq!(found.coverage.answered, 32, "others are unharmed");
+}
+
+#[test]
+fn slots_are_never_exceeded() {
+    let scene = Scene {
+        slots: 2,
+        ..Scene::default()
+    };
+    let mut world = scene.world();
+    for _ in 0..200 {
+        world.search(
+            0,
+            &Scene::entry(Class::Latency),
+            &Bytes::from_static(b"harp"),
+        );
+        world.advance(Duration::from_millis(2));
+    }
+    world.advance(Duration::from_secs(1));
+    for upstream in 0..4 {
+        assert!(world.most_in_work(Scene::address(upstream)) <= 2);
+    }
+    assert!(world.history.check().is_empty());
+}
+
+#[test]
+fn hedges_cut_the_tail_of_stragglers() {
+    let slow = UpstreamPlan {
+        slow_one_in: 100,
+        ..UpstreamPlan::default()
+    };
+    let tail = |hedge| {
+        let mut scene = Scene {
+            shards: 100,
+            upstreams: 20,
+            slots: 64,
+            ..Scene::default()
+        };
+        scene.upstream = slow.clone();
+        scene.limits.hedge = base::Percent(hedge);
+        let mut world = scene.world();
+        let mut took: Vec<Duration> = Vec::new();
+        for _ in 0..400 {
+            let request = world.search(
+                0,
+                &Scene::entry(Class::Latency),
+                &Bytes::from_static(b"harp"),
+            );
+            world.advance(Duration::from_millis(100));
+            took.push(found(&world, request).1);
+        }
+        took.sort_unstable();
+        let stats = *world.node(0).expect("it runs").stats();
+        (took[395], stats.hedges, stats.first_attempts)
+    };
+    let (plain, _, _) = tail(0);
+    let (hedged, hedges, first) = tail(5);
+    assert!(hedged < plain / 2, "p99 {hedged:?} against {plain:?}");
+    assert!(
+        hedges * 20 <= first + 20 * 20,
+        "{hedges} hedges of {first} first attempts"
+    );
+}
--- a/crates/rig/src/sim/mod.rs
+++ b/crates/rig/src/sim/mod.rs
@@ -5,8 +5,10 @@
 
 mod network;
 mod platform;
+mod scene;
 mod upstream;
 mod world;
 
+pub use scene::Scene;
 pub use upstream::UpstreamPlan;
 pub use world::{Fault, Plan, World};
