--- a/crates/cat/tests/mutation.rs
+++ b/crates/cat/tests/mutation.rs
@@ -101,7 +101,7 @@
 
     fn mutated_fixtures_never_panic(edits: Vec<Edit>) -> bool {
         let catalogue = include_str!("fixtures/catalogue/invalid/five_faults.jsonc");
-        let settings = include_str!("fixtures/settings/invalid/five_faults.jsonc");
+        let settings = include_str!("fixtures/settings/invalid/many_faults.jsonc");
         catalogue_holds(&apply(catalogue, &edits)) && settings_hold(&apply(settings, &edits))
     }
 
