--- a/crates/rig/src/sim/scene.rs
+++ b/crates/rig/src/sim/scene.rs
@@ -168,6 +168,7 @@
             to: digest.clone(),
             at: 0,
             items: Vec::new(),
+            omitted: 0,
         };
         let head = Head {
             revision,
