Add the commands check, apply, status and audit

The conditional update of the head alone accepts a change; the document and the replaced revision's change are stored before it, so a head never names what is not there and the trail has no gap. An update whose reply was lost is resolved from the head or the trail, and sent again only while the head still has the version that it names, so it takes effect once. A lost race shows the other change and overwrites nothing.

--- a/crates/briarcove/src/apply.rs
+++ b/crates/briarcove/src/apply.rs
@@ -37,7 +37,10 @@
         return Ok(Exit::Conflict);
     }
     check::print_findings(warnings);
-    if current.as_ref().is_some_and(|c| c.head.document == ours.digest()) {
+    if current
+        .as_ref()
+        .is_some_and(|c| c.head.document == ours.digest())
+    {
         println!("nothing to do: revision {revision} is this catalogue");
         return Ok(Exit::Ok);
     }
--- a/crates/briarcove/src/args.rs
+++ b/crates/briarcove/src/args.rs
@@ -10,7 +10,7 @@
 use gumdrop::Options;
 use snafu::Snafu;
 
-/// The whole command line.
+/// Query tier over many shards.
 #[derive(Debug, Options)]
 pub struct Args {
     /// Asks for help.
@@ -44,7 +44,7 @@
     Audit(Audit),
 }
 
-/// Arguments of `serve`.
+/// Runs an entry instance until it is drained.
 #[derive(Debug, Options)]
 pub struct Serve {
     /// Asks for help.
@@ -55,7 +55,7 @@
     pub settings: PathBuf,
 }
 
-/// Arguments of `check`.
+/// Reports all findings of settings and catalogues with their places.
 #[derive(Debug, Options)]
 pub struct Check {
     /// Asks for help.
@@ -64,6 +64,7 @@
     /// What the files are; without it, their top-level keys tell.
     #[options(
         no_short,
+        long = "as",
         meta = "KIND",
         help = "settings or catalogue; otherwise the keys tell"
     )]
@@ -73,7 +74,7 @@
     pub files: Vec<PathBuf>,
 }
 
-/// Arguments of `apply`.
+/// Puts a catalogue in force unless another change came first.
 #[derive(Debug, Options)]
 pub struct Apply {
     /// Asks for help.
@@ -93,7 +94,7 @@
     pub catalogue: PathBuf,
 }
 
-/// Arguments of `status`.
+/// Shows the state of instances side by side.
 #[derive(Debug, Options)]
 pub struct Status {
     /// Asks for help.
@@ -110,7 +111,7 @@
     pub further: Vec<Address>,
 }
 
-/// Arguments of `audit`.
+/// Lists the accepted changes of the catalogue, oldest first.
 #[derive(Debug, Options)]
 pub struct Audit {
     /// Asks for help.
--- a/crates/briarcove/src/audit.rs
+++ b/crates/briarcove/src/audit.rs
@@ -56,7 +56,11 @@
         return;
     }
     let digest = &change.to;
-    println!("revision {} at {}, document {digest}", change.revision, utc::format(change.at));
+    println!(
+        "revision {} at {}, document {digest}",
+        change.revision,
+        utc::format(change.at)
+    );
     print_items(change);
 }
 
--- a/crates/briarcove/src/check.rs
+++ b/crates/briarcove/src/check.rs
@@ -67,7 +67,11 @@
             }
             Err(e) => e.report(),
         };
-        worst = if exit.code() > worst.code() { exit } else { worst };
+        worst = if exit.code() > worst.code() {
+            exit
+        } else {
+            worst
+        };
     }
     worst
 }
--- a/crates/briarcove/src/lib.rs
+++ b/crates/briarcove/src/lib.rs
@@ -1,4 +1,89 @@
 //! The briarcove command line and entry instance.
 
+pub mod apply;
 pub mod args;
+pub mod audit;
+pub mod check;
 pub mod exit;
+pub mod logs;
+mod race;
+pub mod serve;
+pub mod status;
+mod store;
+mod utc;
+
+use std::future::Future;
+
+use gumdrop::Options;
+
+use crate::{
+    args::{Args, Command},
+    exit::Exit,
+};
+
+/// Runs the command that `words` name, without the name of the program.
+pub fn run(words: &[String]) -> Exit {
+    let args = match Args::parse_args_default(words) {
+        Ok(args) => args,
+        Err(e) => {
+            eprintln!("briarcove: {e}; see briarcove --help");
+            return Exit::Usage;
+        }
+    };
+    if args.version {
+        println!("briarcove {}", env!("CARGO_PKG_VERSION"));
+        return Exit::Ok;
+    }
+    if args.help_requested() {
+        print!("{}", args::usage(&args));
+        return Exit::Ok;
+    }
+    match args.command {
+        Some(command) => run_command(command),
+        None => {
+            eprint!("{}", args::usage(&args));
+            Exit::Usage
+        }
+    }
+}
+
+fn run_command(command: Command) -> Exit {
+    match command {
+        Command::Serve(args) => run_serve(&args),
+        Command::Check(args) => check::run(&args),
+        Command::Apply(args) => block_on(apply::run(args)),
+        Command::Status(args) => block_on(status::run(args)),
+        Command::Audit(args) => block_on(audit::run(args)),
+    }
+}
+
+fn run_serve(args: &args::Serve) -> Exit {
+    let (cfg, warnings) = match check::load_settings(&args.settings) {
+        Ok(loaded) => loaded,
+        Err(e) => return e.report(),
+    };
+    let logs = logs::start(&cfg.log);
+    let log = logs.logger();
+    for warning in warnings.iter() {
+        slog::warn!(log, "{}", warning);
+    }
+    let served = serve::run(cfg, log);
+    drop(logs);
+    match served {
+        Ok(()) => Exit::Ok,
+        Err(e) => {
+            eprintln!("briarcove: {e}");
+            Exit::Unreachable
+        }
+    }
+}
+
+fn block_on(command: impl Future<Output = Exit>) -> Exit {
+    match compio::runtime::Runtime::new() {
+        Ok(runtime) => runtime.block_on(command),
+        Err(e) => {
+            eprintln!("briarcove: the runtime does not start: {e}");
+            Exit::Unreachable
+        }
+    }
+}
--- a/crates/briarcove/src/main.rs
+++ b/crates/briarcove/src/main.rs
@@ -1,2 +1,8 @@
 //! Entry point of the `briarcove` binary.
-fn main() {}
+
+use std::{env, process::ExitCode};
+
+fn main() -> ExitCode {
+    let words: Vec<String> = env::args().skip(1).collect();
+    briarcove::run(&words).into()
+}
--- a/crates/briarcove/src/status.rs
+++ b/crates/briarcove/src/status.rs
@@ -95,7 +95,11 @@
     names.dedup();
     for name in names {
         let mut row = vec![name];
-        row.extend(columns.iter().map(|(_, f)| f.get(name).map_or(ABSENT, String::as_str)));
+        row.extend(
+            columns
+                .iter()
+                .map(|(_, f)| f.get(name).map_or(ABSENT, String::as_str)),
+        );
         rows.push(row);
     }
     lay_out(&rows)
--- a/crates/plat/src/error.rs
+++ b/crates/plat/src/error.rs
@@ -16,7 +16,7 @@
         problem: Box<str>,
     },
     /// The call was not taken; a write did not take effect.
-    #[snafu(display("the platform is unavailable: {problem}"))]
+    #[snafu(display("unavailable: {problem}"))]
     Unavailable {
         /// What happened instead of a reply.
         problem: Box<str>,
