briarcove: test the commands as processes against the platform's stand-in

A proxy before the stand-in lets other operators in, or loses a reply, at the very update of the head, so that races and lost replies are the same on every run.

--- /dev/null
+++ b/crates/briarcove/tests/apply.rs
@@ -0,0 +1,94 @@
+//! Putting catalogues in force without others at work.
+
+use base::Revision;
+use node::Kind;
+
+use crate::{
+    bench::{self, Bench},
+    command::briarcove,
+};
+
+#[test]
+fn a_second_apply_has_nothing_to_do() {
+    let bench = Bench::start();
+    bench
+        .apply(r#""rate": "500/s""#)
+        .expect(0)
+        .says("added entries/find-act");
+    let head = bench.head();
+    assert_eq!(head.revision, Revision(1));
+    assert!(bench.object(Kind::Document, &head.document).is_some());
+    bench
+        .apply(r#""rate": "500/s""#)
+        .expect(0)
+        .says("nothing to do");
+    assert_eq!(bench.head(), head);
+}
+
+#[test]
+fn a_change_says_what_differs_and_warns() {
+    let bench = Bench::start();
+    bench.apply(r#""rate": "500/s""#).expect(0);
+    bench
+        .apply(r#""rate": "600/s", "hedge": "0%", "retry": "0%", "deadline": "1ms""#)
+        .expect(0)
+        .says("revision 1 -> 2")
+        .says("changed entries/find-act/limits/rate: 500/s -> 600/s")
+        .says("allowed before: service diary")
+        .says("accepted: revision 2 is in force");
+}
+
+#[test]
+fn findings_keep_a_catalogue_out() {
+    let bench = Bench::start();
+    bench.apply(r#""rate": "fast""#).expect(1).says(": error: ");
+    assert_eq!(bench.object(Kind::Catalogue, "head"), None);
+}
+
+#[test]
+fn a_dry_run_and_an_unexpected_revision_change_nothing() {
+    let bench = Bench::start();
+    bench.apply("").expect(0);
+    let (address, head) = (bench.address().to_string(), bench.head());
+    let file = bench::catalogue(r#""rate": "500/s""#);
+    let apply = ["apply", "--platform", &address, file.to_str().unwrap()];
+    briarcove(&[&apply[..], &["--dry-run"]].concat())
+        .expect(0)
+        .says("limits/rate")
+        .says("nothing was changed");
+    briarcove(&[&apply[..], &["--expect", "7"]].concat())
+        .expect(3)
+        .says("revision 1 is in force, not 7");
+    assert_eq!(bench.head(), head);
+    briarcove(&[&apply[..], &["--expect", "1"]].concat()).expect(0);
+}
+
+#[test]
+fn an_unreadable_document_in_force_can_be_replaced() {
+    let bench = Bench::start();
+    bench.apply("").expect(0);
+    let hidden = crate::proxy::start(bench.address(), |line, forward| {
+        match line.starts_with("GET /v1/objects/document/") {
+            true => Some(b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n".to_vec()),
+            false => Some(forward()),
+        }
+    });
+    bench::apply(hidden, r#""rate": "500/s""#)
+        .expect(0)
+        .says("can't be read");
+    assert_eq!(bench.head().revision, Revision(2));
+}
+
+#[test]
+fn a_platform_that_is_down_is_unreachable() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = closed.local_addr().unwrap();
+    drop(closed);
+    bench::apply(address, "").expect(4);
+    let bench = Bench::start();
+    let down = crate::proxy::start(bench.address(), |_, _| {
+        Some(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n".to_vec())
+    });
+    bench::apply(down, "").expect(4).says("unavailable");
+    briarcove(&["audit", "--platform", &down.to_string()]).expect(4);
+}
--- /dev/null
+++ b/crates/briarcove/tests/main.rs
@@ -0,0 +1,12 @@
+//! The commands as processes, against a stand-in platform.
+
+#![expect(clippy::unwrap_used, reason = "a step that fails has to fail its test")]
+
+mod apply;
+mod audit;
+mod bench;
+mod check;
+mod command;
+mod proxy;
+mod race;
+mod status;
--- a/crates/plat/tests/main.rs
+++ b/crates/plat/tests/main.rs
@@ -1,5 +1,7 @@
 //! The client against a scripted server on the loopback address.
 
+#![expect(clippy::unwrap_used, reason = "a step that fails has to fail its test")]
+
 mod script;
 
 use std::{future::Future, time::Duration};
