--- a/crates/front/src/front.rs
+++ b/crates/front/src/front.rs
@@ -137,7 +137,7 @@
     }
 
     /// Returns whether the endpoints have been told to stop.
-    pub(crate) fn is_stopping(&self) -> bool {
+    pub fn is_stopping(&self) -> bool {
         self.stopping.get()
     }
 
--- /dev/null
+++ b/crates/front/tests/drain.rs
@@ -0,0 +1,83 @@
+//! Shutdown without cutting a request.
+
+use std::{thread, time::Duration};
+
+use front::Settings;
+
+use crate::{answers::found, harness::Harness};
+
+#[test]
+fn requests_in_flight_are_answered_and_the_connection_closes() {
+    let harness = Harness::start(Settings::default());
+    let mut idle = harness.connect();
+    idle.get("/health");
+    let mut busy = harness.connect();
+    busy.search();
+    let (id, _) = harness.call();
+    harness.stop();
+    idle.assert_closed();
+    thread::sleep(Duration::from_millis(100));
+    assert!(!harness.is_drained());
+    harness.answer(id, found());
+    let response = busy.response();
+    assert_eq!(response.status, 200);
+    assert_eq!(response.header("connection"), "close");
+    busy.assert_closed();
+    harness.wait_drained();
+}
+
+#[test]
+fn requests_on_their_way_are_answered() {
+    let harness = Harness::start(Settings {
+        stop_linger: Duration::from_millis(200),
+        ..Settings::default()
+    });
+    let mut idle = harness.connect();
+    idle.get("/health");
+    let mut holding = harness.connect();
+    holding.search();
+    let (held, _) = harness.call();
+    harness.stop();
+    // One request comes on a kept connection and one on a new connection.
+    let mut fresh = harness.connect();
+    for client in [&mut idle, &mut fresh] {
+        client.search();
+        let (id, _) = harness.call();
+        harness.answer(id, found());
+        let response = client.response();
+        assert_eq!(response.status, 200);
+        assert_eq!(response.header("connection"), "close");
+        client.assert_closed();
+    }
+    harness.answer(held, found());
+    assert_eq!(holding.response().status, 200);
+    harness.wait_drained();
+}
+
+#[test]
+fn idle_endpoints_drain_at_once() {
+    let harness = Harness::start(Settings::default());
+    let mut unused = harness.connect();
+    harness.stop();
+    unused.assert_closed();
+    harness.wait_drained();
+}
+
+#[test]
+fn large_answer_is_written_whole_while_draining() {
+    let harness = Harness::start(Settings::default());
+    let mut client = harness.connect();
+    client.search();
+    let (id, _) = harness.call();
+    harness.stop();
+    let node::Answer::Found(mut answer) = found() else {
+        panic!("found() is a result");
+    };
+    answer.hits = vec![answer.hits[0].clone(); 100_000];
+    harness.answer(id, node::Answer::Found(answer));
+    thread::sleep(Duration::from_millis(100));
+    assert!(!harness.is_drained());
+    let response = client.response();
+    assert_eq!(response.field("hits").as_array().unwrap().len(), 100_000);
+    harness.wait_drained();
+}
--- /dev/null
+++ b/crates/front/tests/harness.rs
@@ -0,0 +1,246 @@
+//! Endpoints on a thread of their own, and a plain client.
+
+use std::{
+    io::{Read, Write},
+    net::{SocketAddr, TcpStream},
+    rc::Rc,
+    sync::mpsc::{self, Receiver},
+    thread::{self, JoinHandle},
+    time::Duration,
+};
+
+use base::CallId;
+use compio::{net::TcpListener, runtime::Runtime};
+use front::{Front, Settings, Status};
+use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
+use futures_util::StreamExt;
+use node::{Answer, Call, Event};
+use slog::{Discard, Logger, o};
+
+/// Longest wait for what must come.
+const PATIENCE: Duration = Duration::from_secs(10);
+
+/// What the endpoints are told.
+enum Order {
+    Answer(CallId, Answer),
+    Publish(Box<Status>),
+    Stop,
+}
+
+/// Endpoints under test, in the reducer's place.
+pub(crate) struct Harness {
+    /// Where the endpoints listen.
+    pub(crate) address: SocketAddr,
+    events: Receiver<Event>,
+    orders: UnboundedSender<Order>,
+    thread: JoinHandle<()>,
+}
+
+impl Harness {
+    /// Starts endpoints with the given limits.
+    pub(crate) fn start(settings: Settings) -> Self {
+        let (orders, taken) = unbounded();
+        let (told, events) = mpsc::channel();
+        let (ready, address) = mpsc::channel();
+        let thread = thread::spawn(move || {
+            let (tx, rx) = unbounded();
+            Runtime::new().unwrap().block_on(async move {
+                let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+                ready.send(listener.local_addr().unwrap()).unwrap();
+                let front = Front::new(settings, tx, Logger::root(Discard, o!()));
+                let forward = compio::runtime::spawn(rx.for_each(move |event| {
+                    let _ = told.send(event);
+                    std::future::ready(())
+                }));
+                let serve = compio::runtime::spawn(Rc::clone(&front).serve(listener));
+                obey(&front, taken).await;
+                serve.await.unwrap();
+                front.drained().await;
+                drop(forward);
+            });
+        });
+        Self {
+            address: address.recv().unwrap(),
+            events,
+            orders,
+            thread,
+        }
+    }
+
+    /// Waits for the next event.
+    pub(crate) fn event(&self) -> Event {
+        self.events.recv_timeout(PATIENCE).unwrap()
+    }
+
+    /// Waits for the next call.
+    pub(crate) fn call(&self) -> (CallId, Call) {
+        match self.event() {
+            Event::Call(id, call) => (id, call),
+            other => panic!("unexpected {other:?}"),
+        }
+    }
+
+    /// Checks that no event has come.
+    pub(crate) fn assert_no_event(&self) {
+        let event = self.events.recv_timeout(Duration::from_millis(30));
+        assert!(event.is_err(), "unexpected {event:?}");
+    }
+
+    /// Answers a call.
+    pub(crate) fn answer(&self, call: CallId, answer: Answer) {
+        self.order(Order::Answer(call, answer));
+    }
+
+    /// Shows a state.
+    pub(crate) fn publish(&self, status: Status) {
+        self.order(Order::Publish(Box::new(status)));
+    }
+
+    /// Tells the endpoints to stop accepting.
+    pub(crate) fn stop(&self) {
+        self.order(Order::Stop);
+    }
+
+    /// Returns whether the endpoints have been drained.
+    pub(crate) fn is_drained(&self) -> bool {
+        self.thread.is_finished()
+    }
+
+    /// Waits until the endpoints have been drained.
+    pub(crate) fn wait_drained(self) {
+        self.thread.join().unwrap();
+    }
+
+    /// Opens a connection.
+    pub(crate) fn connect(&self) -> Client {
+        let stream = TcpStream::connect(self.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client {
+            stream,
+            buf: Vec::new(),
+        }
+    }
+
+    fn order(&self, order: Order) {
+        self.orders.unbounded_send(order).unwrap();
+    }
+}
+
+async fn obey(front: &Front, mut orders: UnboundedReceiver<Order>) {
+    while let Some(order) = orders.next().await {
+        match order {
+            Order::Answer(call, answer) => front.answer(call, answer),
+            Order::Publish(status) => front.publish(*status),
+            Order::Stop => {
+                front.stop_accepting();
+                // Answers go on while the endpoints drain.
+                if front.in_hand() == 0 {
+                    return;
+                }
+            }
+        }
+        if front.in_hand() == 0 && front.is_stopping() {
+            return;
+        }
+    }
+}
+
+/// One response as it arrived.
+#[derive(Debug)]
+pub(crate) struct Response {
+    /// Status.
+    pub(crate) status: u16,
+    /// Status line and headers.
+    pub(crate) head: String,
+    /// Body.
+    pub(crate) body: String,
+}
+
+impl Response {
+    /// Returns the value of a header, or an empty text.
+    pub(crate) fn header(&self, name: &str) -> &str {
+        header(&self.head, name)
+    }
+
+    /// Returns a field of the JSON body.
+    pub(crate) fn field(&self, name: &str) -> serde_json::Value {
+        serde_json::from_str::<serde_json::Value>(&self.body).unwrap()[name].clone()
+    }
+}
+
+fn header<'a>(head: &'a str, name: &str) -> &'a str {
+    head.lines()
+        .filter_map(|line| line.split_once(": "))
+        .find(|(n, _)| *n == name)
+        .map_or("", |(_, value)| value)
+}
+
+/// A connection of a caller.
+pub(crate) struct Client {
+    stream: TcpStream,
+    buf: Vec<u8>,
+}
+
+impl Client {
+    /// Sends bytes as they are.
+    pub(crate) fn send(&mut self, bytes: impl AsRef<[u8]>) {
+        self.stream.write_all(bytes.as_ref()).unwrap();
+    }
+
+    /// Sends a request; `headers` are whole lines.
+    pub(crate) fn post(&mut self, path: &str, headers: &str, body: &str) {
+        let length = body.len();
+        self.send(format!(
+            "POST {path} HTTP/1.1\r\nhost: x\r\n{headers}content-length: {length}\r\n\r\n{body}"
+        ));
+    }
+
+    /// Sends a search.
+    pub(crate) fn search(&mut self) {
+        self.post("/v1/entries/harps/search", "", "{}");
+    }
+
+    /// Sends a request without a body and waits for its response.
+    pub(crate) fn get(&mut self, path: &str) -> Response {
+        self.send(format!("GET {path} HTTP/1.1\r\nhost: x\r\n\r\n"));
+        self.response()
+    }
+
+    /// Waits for the next response.
+    pub(crate) fn response(&mut self) -> Response {
+        self.try_response().expect("the connection has closed")
+    }
+
+    /// Waits for the next response; `None` when the connection closes.
+    pub(crate) fn try_response(&mut self) -> Option<Response> {
+        let mut chunk = [0; 4096];
+        loop {
+            if let Some(end) = self.buf.windows(4).position(|w| w == b"\r\n\r\n") {
+                let head = String::from_utf8(self.buf[..end].to_vec()).unwrap();
+                let length: usize = header(&head, "content-length").parse().unwrap_or(0);
+                let end = end + 4;
+                if self.buf.len() >= end + length {
+                    let body = String::from_utf8(self.buf[end..end + length].to_vec()).unwrap();
+                    self.buf.drain(..end + length);
+                    return Some(Response {
+                        status: head[9..12].parse().unwrap(),
+                        head,
+                        body,
+                    });
+                }
+            }
+            match self.stream.read(&mut chunk) {
+                Ok(n) if n > 0 => self.buf.extend_from_slice(&chunk[..n]),
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {
+                    panic!("no response in time")
+                }
+                _ => return None,
+            }
+        }
+    }
+
+    /// Checks that the connection has been closed without another response.
+    pub(crate) fn assert_closed(&mut self) {
+        assert!(self.try_response().is_none());
+    }
+}
--- a/crates/front/tests/main.rs
+++ b/crates/front/tests/main.rs
@@ -1,1 +1,9 @@
-fn main() {}
+//! Tests of the HTTP endpoints over loopback.
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+mod answers;
+mod drain;
+mod gone;
+mod harness;
+mod input;
+mod ops;
--- a/crates/up/tests/bounds.rs
+++ b/crates/up/tests/bounds.rs
@@ -8,16 +8,16 @@
 
 use crate::{
     fake::{Fake, reply},
-    rig::{Rig, block_on, echo},
+    harness::{Harness, block_on, echo},
 };
 
 /// Returns what a search reports whose reply has this body.
 fn report_of_body(body: &'static str, settings: Settings) -> UpstreamEvent {
     let fake = Fake::start(move |request| Some(request.found(body)));
     block_on(async {
-        let mut rig = Rig::new(settings);
-        rig.search(fake.address, 1, 1000);
-        rig.report().await.1
+        let mut up = Harness::new(settings);
+        up.search(fake.address, 1, 1000);
+        up.report().await.1
     })
 }
 
@@ -25,9 +25,9 @@
 fn report_of_status(status: u16, headers: &'static str) -> UpstreamEvent {
     let fake = Fake::start(move |_| Some(reply(status, headers, "")));
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        rig.search(fake.address, 1, 1000);
-        rig.report().await.1
+        let mut up = Harness::new(Settings::default());
+        up.search(fake.address, 1, 1000);
+        up.report().await.1
     })
 }
 
@@ -127,9 +127,9 @@
 fn reply_that_is_not_http_is_malformed() {
     let fake = Fake::start(|_| Some(b"what?\r\n\r\n".to_vec()));
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        rig.search(fake.address, 1, 1000);
-        assert_eq!(rig.failure().await, Failure::Malformed);
+        let mut up = Harness::new(Settings::default());
+        up.search(fake.address, 1, 1000);
+        assert_eq!(up.failure().await, Failure::Malformed);
     });
 }
 
@@ -150,9 +150,9 @@
         Some(request.found(&hits))
     });
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        rig.search(fake.address, 1, 1000);
-        match rig.report().await.1 {
+        let mut up = Harness::new(Settings::default());
+        up.search(fake.address, 1, 1000);
+        match up.report().await.1 {
             UpstreamEvent::Replied(reply) => assert_eq!(
                 &*reply.hits[0].text,
                 "00000000000000000000000000000abc-1 7 s-1 5 {'query':'harp'}"
--- a/crates/up/tests/exact.rs
+++ b/crates/up/tests/exact.rs
@@ -15,7 +15,7 @@
 
 use crate::{
     fake::{Fake, reply},
-    rig::{Rig, block_on, until},
+    harness::{Harness, block_on, until},
 };
 
 #[test]
@@ -24,13 +24,13 @@
     let address = listener.local_addr().unwrap();
     drop(listener);
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        rig.search(address, 2, 1000);
-        rig.run(address, 2, 1000);
-        assert_eq!(rig.failure().await, Failure::Connect);
-        assert_eq!(rig.failure().await, Failure::Connect);
-        rig.quiet(Duration::from_millis(20)).await;
-        assert_eq!(rig.pools.connections(), 0);
+        let mut up = Harness::new(Settings::default());
+        up.search(address, 2, 1000);
+        up.run(address, 2, 1000);
+        assert_eq!(up.failure().await, Failure::Connect);
+        assert_eq!(up.failure().await, Failure::Connect);
+        up.quiet(Duration::from_millis(20)).await;
+        assert_eq!(up.pools.connections(), 0);
     });
 }
 
@@ -38,12 +38,12 @@
 fn close_after_the_request_is_broken_and_never_resent() {
     let fake = Fake::start(|_| None);
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        rig.search(fake.address, 2, 1000);
-        assert_eq!(rig.failure().await, Failure::Broken);
-        rig.run(fake.address, 2, 1000);
-        assert_eq!(rig.failure().await, Failure::Broken);
-        rig.quiet(Duration::from_millis(30)).await;
+        let mut up = Harness::new(Settings::default());
+        up.search(fake.address, 2, 1000);
+        assert_eq!(up.failure().await, Failure::Broken);
+        up.run(fake.address, 2, 1000);
+        assert_eq!(up.failure().await, Failure::Broken);
+        up.quiet(Duration::from_millis(30)).await;
         assert_eq!(fake.requests(), 2);
     });
 }
@@ -55,11 +55,11 @@
         Some(request.found("[]"))
     });
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        rig.run(fake.address, 2, 30);
-        assert_eq!(rig.failure().await, Failure::Broken);
-        until(|| rig.pools.connections() == 0).await;
-        rig.quiet(Duration::from_millis(150)).await;
+        let mut up = Harness::new(Settings::default());
+        up.run(fake.address, 2, 30);
+        assert_eq!(up.failure().await, Failure::Broken);
+        until(|| up.pools.connections() == 0).await;
+        up.quiet(Duration::from_millis(150)).await;
         assert_eq!(fake.requests(), 1);
     });
 }
@@ -68,9 +68,9 @@
 fn no_permitted_connection_is_connect() {
     let fake = Fake::start(|request| Some(request.found("[]")));
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        rig.run(fake.address, 0, 30);
-        assert_eq!(rig.failure().await, Failure::Connect);
+        let mut up = Harness::new(Settings::default());
+        up.run(fake.address, 0, 30);
+        assert_eq!(up.failure().await, Failure::Connect);
         assert_eq!(fake.accepted(), 0);
     });
 }
@@ -92,19 +92,19 @@
     for delay_us in [0, 50, 100, 200, 400, 800, 1600] {
         let fake = Fake::start_closing(Duration::from_micros(delay_us));
         block_on(async {
-            let mut rig = Rig::new(Settings::default());
+            let mut up = Harness::new(Settings::default());
             for round in 0..20u64 {
                 let before = fake.requests();
-                rig.search(fake.address, 1, 1000);
+                up.search(fake.address, 1, 1000);
                 assert!(matches!(
-                    rig.report().await.1,
+                    up.report().await.1,
                     UpstreamEvent::Replied(_) | UpstreamEvent::Failed(_)
                 ));
                 thread::sleep(Duration::from_micros(round * 40));
                 let sent = fake.requests();
                 assert!(sent - before <= 2);
-                rig.run(fake.address, 1, 1000);
-                match rig.report().await.1 {
+                up.run(fake.address, 1, 1000);
+                match up.report().await.1 {
                     UpstreamEvent::Ran { .. } => assert_eq!(fake.requests() - sent, 1),
                     UpstreamEvent::Failed(Failure::Connect) => {
                         compio::time::sleep(Duration::from_millis(3)).await;
@@ -125,14 +125,14 @@
     let closed = Arc::new(AtomicBool::new(false));
     let fake = closing_upstream(&closed);
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        rig.run(fake.address, 1, 1000);
-        assert!(matches!(rig.report().await.1, UpstreamEvent::Ran { .. }));
+        let mut up = Harness::new(Settings::default());
+        up.run(fake.address, 1, 1000);
+        assert!(matches!(up.report().await.1, UpstreamEvent::Ran { .. }));
         closed.store(true, Ordering::SeqCst);
-        rig.run(fake.address, 1, 1000);
-        assert_eq!(rig.failure().await, Failure::Broken);
-        rig.search(fake.address, 1, 1000);
-        assert!(matches!(rig.report().await.1, UpstreamEvent::Replied(_)));
+        up.run(fake.address, 1, 1000);
+        assert_eq!(up.failure().await, Failure::Broken);
+        up.search(fake.address, 1, 1000);
+        assert!(matches!(up.report().await.1, UpstreamEvent::Replied(_)));
         assert_eq!((fake.requests(), fake.accepted()), (3, 2));
     });
 }
@@ -163,10 +163,10 @@
     ] {
         let fake = Fake::start(move |_| Some(reply(200, &format!("{wrong}\r\n{right}\r\n"), "[]")));
         block_on(async {
-            let mut rig = Rig::new(Settings::default());
-            rig.search(fake.address, 1, 1000);
-            assert_eq!(rig.failure().await, Failure::Malformed, "{wrong}");
-            until(|| rig.pools.connections() == 0 && fake.open() == 0).await;
+            let mut up = Harness::new(Settings::default());
+            up.search(fake.address, 1, 1000);
+            assert_eq!(up.failure().await, Failure::Malformed, "{wrong}");
+            until(|| up.pools.connections() == 0 && fake.open() == 0).await;
         });
     }
 }
@@ -175,9 +175,9 @@
 fn crossed_refusal_of_a_run_does_not_count_as_not_started() {
     let fake = Fake::start(|_| Some(reply(503, "request-id: ff\r\n", "")));
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        rig.run(fake.address, 1, 1000);
-        assert_eq!(rig.failure().await, Failure::Malformed);
+        let mut up = Harness::new(Settings::default());
+        up.run(fake.address, 1, 1000);
+        assert_eq!(up.failure().await, Failure::Malformed);
         until(|| fake.open() == 0).await;
     });
 }
--- a/crates/up/tests/rig.rs
+++ b/crates/up/tests/harness.rs
@@ -14,14 +14,14 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 
 /// Pools under test.
-pub(crate) struct Rig {
+pub(crate) struct Harness {
     /// The pools.
     pub(crate) pools: Pools,
     reports: UnboundedReceiver<Event>,
     last: Cell<AttemptId>,
 }
 
-impl Rig {
+impl Harness {
     /// Makes pools with the given limits.
     pub(crate) fn new(settings: Settings) -> Self {
         let (events, reports) = mpsc::unbounded();
--- a/crates/up/tests/limit.rs
+++ b/crates/up/tests/limit.rs
@@ -11,7 +11,7 @@
 
 use crate::{
     fake::{Fake, reply},
-    rig::{Rig, block_on, until},
+    harness::{Harness, block_on, until},
 };
 
 #[test]
@@ -21,18 +21,18 @@
         Some(request.found("[]"))
     });
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
+        let mut up = Harness::new(Settings::default());
         for _ in 0..300 {
-            rig.search(fake.address, 3, 5000);
-            assert!(rig.pools.connections() <= 3);
+            up.search(fake.address, 3, 5000);
+            assert!(up.pools.connections() <= 3);
         }
         for _ in 0..300 {
-            assert!(matches!(rig.report().await.1, UpstreamEvent::Replied(_)));
-            assert!(rig.pools.connections() <= 3);
+            assert!(matches!(up.report().await.1, UpstreamEvent::Replied(_)));
+            assert!(up.pools.connections() <= 3);
         }
         assert_eq!(fake.counts.most_open.load(Ordering::SeqCst), 3);
         assert_eq!(fake.accepted(), 3);
-        assert_eq!(rig.pools.stats().attempts, 0);
+        assert_eq!(up.pools.stats().attempts, 0);
     });
 }
 
@@ -43,17 +43,17 @@
         Some(request.found("[]"))
     });
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
+        let mut up = Harness::new(Settings::default());
         for _ in 0..4 {
-            rig.search(fake.address, 4, 5000);
+            up.search(fake.address, 4, 5000);
         }
         for _ in 0..4 {
-            rig.report().await;
+            up.report().await;
         }
-        assert_eq!(rig.pools.connections(), 4);
-        rig.search(fake.address, 1, 5000);
-        rig.report().await;
-        until(|| rig.pools.connections() == 1 && fake.open() == 1).await;
+        assert_eq!(up.pools.connections(), 4);
+        up.search(fake.address, 1, 5000);
+        up.report().await;
+        until(|| up.pools.connections() == 1 && fake.open() == 1).await;
     });
 }
 
@@ -69,16 +69,16 @@
         Some(request.found("[]"))
     });
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        rig.search(fake.address, 1, 5000);
-        let late = rig.search(fake.address, 1, 20);
-        rig.search(fake.address, 1, 5000);
-        rig.search(fake.address, 1, 5000);
-        let (attempt, event) = rig.report().await;
+        let mut up = Harness::new(Settings::default());
+        up.search(fake.address, 1, 5000);
+        let late = up.search(fake.address, 1, 20);
+        up.search(fake.address, 1, 5000);
+        up.search(fake.address, 1, 5000);
+        let (attempt, event) = up.report().await;
         assert_eq!(attempt, late);
         assert!(matches!(event, UpstreamEvent::Failed(Failure::Connect)));
         for _ in 0..3 {
-            assert!(matches!(rig.report().await.1, UpstreamEvent::Replied(_)));
+            assert!(matches!(up.report().await.1, UpstreamEvent::Replied(_)));
         }
         let order = order.lock().unwrap();
         let numbers: Vec<_> = order.iter().map(|id| &id[33..]).collect();
@@ -93,19 +93,19 @@
         Some(request.found("[]"))
     });
     block_on(async {
-        let mut rig = Rig::new(Settings {
+        let mut up = Harness::new(Settings {
             idle_connections: 2,
             idle_time: Duration::from_millis(80),
             ..Settings::default()
         });
         for _ in 0..6 {
-            rig.search(fake.address, 6, 5000);
+            up.search(fake.address, 6, 5000);
         }
         for _ in 0..6 {
-            rig.report().await;
+            up.report().await;
         }
-        until(|| rig.pools.connections() == 2).await;
-        until(|| rig.pools.connections() == 0 && fake.open() == 0).await;
+        until(|| up.pools.connections() == 2).await;
+        until(|| up.pools.connections() == 0 && fake.open() == 0).await;
     });
 }
 
@@ -124,17 +124,17 @@
         Some(reply(499, "", ""))
     });
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        let attempt = rig.search(fake.address, 2, 5000);
+        let mut up = Harness::new(Settings::default());
+        let attempt = up.search(fake.address, 2, 5000);
         until(|| fake.requests() == 1).await;
-        rig.pools.cancel(attempt);
-        rig.quiet(Duration::from_millis(100)).await;
+        up.pools.cancel(attempt);
+        up.quiet(Duration::from_millis(100)).await;
         assert_eq!(
             *cancels.lock().unwrap(),
             ["00000000000000000000000000000abc-1"]
         );
-        assert_eq!((rig.pools.connections(), fake.open()), (2, 2));
-        assert_eq!(rig.pools.stats().cancels_sent, 1);
+        assert_eq!((up.pools.connections(), fake.open()), (2, 2));
+        assert_eq!(up.pools.stats().cancels_sent, 1);
     });
 }
 
@@ -145,15 +145,15 @@
         Some(request.found("[]"))
     });
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        let attempt = rig.search(fake.address, 1, 5000);
+        let mut up = Harness::new(Settings::default());
+        let attempt = up.search(fake.address, 1, 5000);
         until(|| fake.requests() == 1).await;
-        rig.pools.cancel(attempt);
-        rig.search(fake.address, 1, 5000);
-        assert!(matches!(rig.report().await.1, UpstreamEvent::Replied(_)));
-        rig.quiet(Duration::from_millis(50)).await;
+        up.pools.cancel(attempt);
+        up.search(fake.address, 1, 5000);
+        assert!(matches!(up.report().await.1, UpstreamEvent::Replied(_)));
+        up.quiet(Duration::from_millis(50)).await;
         assert_eq!((fake.requests(), fake.accepted()), (2, 1));
-        assert_eq!(rig.pools.stats().cancels_untold, 1);
+        assert_eq!(up.pools.stats().cancels_untold, 1);
     });
 }
 
@@ -164,11 +164,11 @@
         None
     });
     block_on(async {
-        let mut rig = Rig::new(Settings::default());
-        let attempt = rig.search(fake.address, 1, 60);
+        let mut up = Harness::new(Settings::default());
+        let attempt = up.search(fake.address, 1, 60);
         until(|| fake.requests() == 1).await;
-        rig.pools.cancel(attempt);
-        until(|| rig.pools.connections() == 0).await;
-        rig.quiet(Duration::from_millis(20)).await;
+        up.pools.cancel(attempt);
+        until(|| up.pools.connections() == 0).await;
+        up.quiet(Duration::from_millis(20)).await;
     });
 }
--- a/crates/up/tests/main.rs
+++ b/crates/up/tests/main.rs
@@ -4,5 +4,5 @@
 mod bounds;
 mod exact;
 mod fake;
+mod harness;
 mod limit;
-mod rig;
