--- a/crates/up/src/conn.rs
+++ b/crates/up/src/conn.rs
@@ -11,12 +11,15 @@
 
 use bytes::Bytes;
 use compio::{net::TcpStream, time::timeout};
-use cyper_core::HyperStream;
 use http_body_util::Full;
-use hyper::client::conn::http1::{self, Connection, SendRequest};
+use hyper::{
+    client::conn::http1::{self, Connection, SendRequest},
+    rt::{Read, Write},
+};
 
 use crate::{
     exchange::{self, Next},
+    io::Io,
     job::Job,
     pool::{Connecting, Handed, Parked, Permit, Pool},
 };
@@ -41,13 +44,13 @@
     pool.open_wanted();
 }
 
-async fn open(pool: &Pool) -> io::Result<(Link, TcpStream)> {
+async fn open(pool: &Pool) -> io::Result<(Link<impl Stream>, TcpStream)> {
     let connect = TcpStream::connect(pool.address);
     let socket = timeout(pool.shared.settings.connect_timeout, connect)
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     socket.set_nodelay(true)?;
-    let stream = HyperStream::new_plain(socket.clone());
+    let stream = Io::new(socket.to_poll_fd()?, pool.shared.read_buf.clone());
     let (sender, driver) = http1::handshake(stream).await.map_err(io::Error::other)?;
     let link = Link {
         sender,
@@ -56,7 +59,7 @@
     Ok((link, socket))
 }
 
-async fn serve(pool: &Rc<Pool>, mut link: Link) {
+async fn serve(pool: &Rc<Pool>, mut link: Link<impl Stream>) {
     while let Some(job) = next_job(pool, &mut link).await {
         match exchange::run(pool, &mut link, job).await {
             Next::Reuse => {}
@@ -66,7 +69,7 @@
 }
 
 /// Waits for a job; `None` when the connection closed or is to be closed.
-async fn next_job(pool: &Rc<Pool>, link: &mut Link) -> Option<Rc<Job>> {
+async fn next_job(pool: &Rc<Pool>, link: &mut Link<impl Stream>) -> Option<Rc<Job>> {
     if !link.ready().await || pool.is_over_limit() {
         return None;
     }
@@ -89,14 +92,19 @@
     }
 }
 
+/// What a connection reads and writes.
+pub(crate) trait Stream: Read + Write + Unpin + 'static {}
+
+impl<S: Read + Write + Unpin + 'static> Stream for S {}
+
 /// Both ends of hyper's client: what takes requests, and what does the connection's I/O.
-pub(crate) struct Link {
+pub(crate) struct Link<S: Stream> {
     /// Takes requests.
     pub(crate) sender: SendRequest<Full<Bytes>>,
-    driver: Option<Connection<HyperStream<TcpStream>, Full<Bytes>>>,
+    driver: Option<Connection<S, Full<Bytes>>>,
 }
 
-impl Link {
+impl<S: Stream> Link<S> {
     /// Drives the connection until `future` ends; `None` when the job was abandoned before that.
     pub(crate) async fn drive<F: Future>(&mut self, job: &Job, future: F) -> Option<F::Output> {
         let mut future = pin!(future);
--- a/crates/up/src/exchange.rs
+++ b/crates/up/src/exchange.rs
@@ -9,7 +9,7 @@
 use node::{Failure, SubRequest, UpstreamEvent};
 
 use crate::{
-    conn::Link,
+    conn::{Link, Stream},
     hits::Bounds,
     job::{Job, Stage, Work},
     pool::Pool,
@@ -26,7 +26,7 @@
 }
 
 /// Sends a job and reports its end.
-pub(crate) async fn run(pool: &Rc<Pool>, link: &mut Link, job: Rc<Job>) -> Next {
+pub(crate) async fn run(pool: &Rc<Pool>, link: &mut Link<impl Stream>, job: Rc<Job>) -> Next {
     let Some(work) = job.work.take() else {
         return Next::Reuse;
     };
@@ -77,7 +77,7 @@
 /// Reads the reply's body and reports what the reply says.
 async fn finish(
     pool: &Pool,
-    link: &mut Link,
+    link: &mut Link<impl Stream>,
     job: &Job,
     work: Work,
     reply: Response<Incoming>,
--- a/crates/up/src/lib.rs
+++ b/crates/up/src/lib.rs
@@ -10,6 +10,7 @@
 mod conn;
 mod exchange;
 mod hits;
+mod io;
 mod job;
 mod pool;
 mod pools;
--- a/crates/up/src/pools.rs
+++ b/crates/up/src/pools.rs
@@ -13,6 +13,7 @@
 use node::{Event, Failure, Send, UpstreamEvent};
 
 use crate::{
+    io::ReadBuf,
     job::{Job, Stage, Work},
     pool::Pool,
     request::Builder,
@@ -40,6 +41,7 @@
             settings,
             events,
             builder: Builder::new(),
+            read_buf: ReadBuf::new(),
             pools: RefCell::default(),
             attempts: RefCell::default(),
             wheel: RefCell::new(Wheel::new(Instant::now())),
@@ -111,6 +113,8 @@
     pub(crate) settings: Settings,
     /// Makes the messages.
     pub(crate) builder: Builder,
+    /// Buffer that all connections share for reading.
+    pub(crate) read_buf: ReadBuf,
     events: UnboundedSender<Event>,
     pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
     /// Attempts whose end has not been reported.
