--- a/crates/briarcove/src/serve.rs
+++ b/crates/briarcove/src/serve.rs
@@ -76,7 +76,9 @@
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, Error> {
-    TcpListener::bind(address).await.context(ListenSnafu { address })
+    TcpListener::bind(address)
+        .await
+        .context(ListenSnafu { address })
 }
 
 /// Returns the start count: microseconds since the Unix epoch, which a restarted instance exceeds.
--- a/crates/briarcove/src/serve/report.rs
+++ b/crates/briarcove/src/serve/report.rs
@@ -7,7 +7,11 @@
 pub(super) fn note(log: &Logger, note: &Note) {
     match note {
         Note::InForce(revision) => info!(log, "catalogue in force"; "revision" => revision.0),
-        Note::BadObject { kind, name, problem } => {
+        Note::BadObject {
+            kind,
+            name,
+            problem,
+        } => {
             warn!(log, "platform object ignored";
                 "kind" => kind.as_str(), "name" => &**name, "problem" => &**problem);
         }
--- a/crates/briarcove/src/serve/shell.rs
+++ b/crates/briarcove/src/serve/shell.rs
@@ -67,8 +67,10 @@
             incarnation,
             peers: cfg.peers.advertise.unwrap_or(cfg.peers.listen),
         };
-        let platform_cfg =
-            plat::Settings { timeout: cfg.platform.timeout, ..plat::Settings::new(cfg.platform.address) };
+        let platform_cfg = plat::Settings {
+            timeout: cfg.platform.timeout,
+            ..plat::Settings::new(cfg.platform.address)
+        };
         let front_cfg = front::Settings {
             max_body: usize::try_from(cfg.callers.max_body.0).unwrap_or(usize::MAX),
             max_connections: cfg.callers.max_connections as usize,
@@ -127,8 +129,11 @@
         self.front.stop_accepting();
         let end = self.now() + self.cfg.shutdown.grace;
         let drained = Rc::new(Cell::new(false));
-        let (front, events, flag) =
-            (Rc::clone(&self.front), self.events.clone(), Rc::clone(&drained));
+        let (front, events, flag) = (
+            Rc::clone(&self.front),
+            self.events.clone(),
+            Rc::clone(&drained),
+        );
         spawn(async move {
             front.drained().await;
             flag.set(true);
@@ -137,7 +142,10 @@
         .detach();
         while !drained.get() {
             if self.now() >= end {
-                warn!(self.log, "shutdown grace is over with callers' requests in flight");
+                warn!(
+                    self.log,
+                    "shutdown grace is over with callers' requests in flight"
+                );
                 return;
             }
             self.turn(effects).await;
@@ -213,6 +221,11 @@
         self.published = now;
         let (instance, data_centre) = (self.cfg.instance.clone(), self.cfg.data_centre.clone());
         let uptime = self.clock.elapsed();
-        self.front.publish(Status::new(instance, data_centre, uptime, self.node.stats()));
+        self.front.publish(Status::new(
+            instance,
+            data_centre,
+            uptime,
+            self.node.stats(),
+        ));
     }
 }
