--- a/crates/plat/src/http.rs
+++ b/crates/plat/src/http.rs
@@ -7,7 +7,7 @@
 use compio::time::timeout;
 use cyper::redirect::Policy;
 
-use crate::{body::read_bounded, error::Error};
+use crate::{body::read_bounded, client::unexpected, error::Error};
 
 /// Makes an HTTP client without TLS, proxies and redirects.
 ///
@@ -27,8 +27,8 @@
 ///
 /// # Errors
 ///
-/// [`Error::Unavailable`] without a reply within `wait`, [`Error::Malformed`] for a reply that is too
-/// large or has a status other than 200.
+/// [`Error::Unavailable`] without a reply within `wait` or for a status of the 500s,
+/// [`Error::Malformed`] for a reply that is too large or has another status than 200.
 pub async fn get(
     address: SocketAddr,
     path: &str,
@@ -40,7 +40,7 @@
         let req = client()?.get(url).map_err(Error::malformed)?;
         let mut reply = req.send().await.map_err(Error::unavailable)?;
         if reply.status() != StatusCode::OK {
-            return Err(Error::malformed(format!("status {}", reply.status())));
+            return Err(unexpected(reply.status()));
         }
         read_bounded(&mut reply, limit).await
     };
