--- /dev/null
+++ b/crates/rig/src/fleet/mod.rs
@@ -0,0 +1,296 @@
+//! A whole set-up as separate processes: platform, upstreams and instances on loopback.
+
+mod api;
+mod plan;
+mod process;
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    time::Duration,
+};
+
+use serde_json::Value;
+use snafu::{ResultExt, Snafu};
+
+pub use api::{Answered, call, control, get_json, put_object};
+pub use plan::{FleetPlan, ServicePlan};
+pub use process::{Process, Usage, sibling};
+
+/// Longest wait for an instance to become ready.
+const READY_WAIT: Duration = Duration::from_secs(20);
+
+/// Why a set-up did not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// A process or file could not be had.
+    #[snafu(display("{what}: {source}"))]
+    Io {
+        /// What was tried.
+        what: Box<str>,
+        /// What the system reported.
+        source: io::Error,
+    },
+    /// A request to a process failed.
+    #[snafu(display("{what}: {source}"))]
+    Request {
+        /// What was tried.
+        what: Box<str>,
+        /// What the client reported.
+        source: crate::client::Error,
+    },
+    /// Something that has to hold does not.
+    #[snafu(display("{what}"))]
+    Unexpected {
+        /// What was seen.
+        what: Box<str>,
+    },
+}
+
+/// One instance of the set-up.
+#[derive(Debug)]
+pub struct Instance {
+    /// Its process.
+    pub process: Process,
+    /// Name and data centre.
+    pub name: Box<str>,
+    /// Address for callers and operators.
+    pub callers: SocketAddr,
+    settings: PathBuf,
+}
+
+/// One upstream of the set-up.
+#[derive(Clone, Debug)]
+pub struct RunningUpstream {
+    /// Its name.
+    pub name: Box<str>,
+    /// Its address.
+    pub address: SocketAddr,
+}
+
+/// A running set-up; all processes end when it is dropped.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The platform's process.
+    pub platform: Process,
+    /// Address of the platform.
+    pub platform_address: SocketAddr,
+    /// Processes of the upstreams.
+    pub upstream_processes: Vec<Process>,
+    /// The upstreams.
+    pub upstreams: Vec<RunningUpstream>,
+    /// The instances.
+    pub instances: Vec<Instance>,
+    folder: PathBuf,
+    plan: FleetPlan,
+}
+
+impl Fleet {
+    /// Starts a set-up and waits until every instance serves.
+    ///
+    /// # Errors
+    ///
+    /// Fails when a process does not start or an instance does not become ready.
+    pub async fn start(plan: FleetPlan) -> Result<Self, Error> {
+        let folder = new_folder()?;
+        let rig = sibling("briarcove-rig");
+        let latency = plan.platform_latency_ms.to_string();
+        let words = ["platform", "--port", "0", "--latency-ms", latency.as_str()];
+        let (platform, addresses) =
+            Process::listening(&rig, &words, 1).context(IoSnafu { what: "platform" })?;
+        let platform_address = addresses[0];
+        let (upstream_processes, upstreams) = start_upstreams(&plan, &folder)?;
+        let mut fleet = Self {
+            platform,
+            platform_address,
+            upstream_processes,
+            upstreams,
+            instances: Vec::new(),
+            folder,
+            plan,
+        };
+        fleet.publish_indexes().await?;
+        fleet.apply()?;
+        fleet.start_instances()?;
+        for index in 0..fleet.instances.len() {
+            fleet.wait_ready(index).await?;
+        }
+        Ok(fleet)
+    }
+
+    async fn publish_indexes(&self) -> Result<(), Error> {
+        for (name, index) in self.plan.indexes() {
+            let path = format!("/v1/objects/index/{name}");
+            api::put_object(self.platform_address, &path, index).await?;
+        }
+        Ok(())
+    }
+
+    /// Puts the catalogue of the running upstreams in force.
+    ///
+    /// # Errors
+    ///
+    /// Fails when `briarcove apply` does.
+    pub fn apply(&self) -> Result<(), Error> {
+        let file = self.folder.join("catalogue.jsonc");
+        let text = self.plan.catalogue(&self.upstreams);
+        std::fs::write(&file, text).context(IoSnafu { what: "catalogue" })?;
+        let output = std::process::Command::new(sibling("briarcove"))
+            .args(["apply", "--platform", &self.platform_address.to_string()])
+            .arg(&file)
+            .output()
+            .context(IoSnafu {
+                what: "briarcove apply",
+            })?;
+        if output.status.success() {
+            return Ok(());
+        }
+        let text = String::from_utf8_lossy(&output.stderr);
+        let said = String::from_utf8_lossy(&output.stdout);
+        UnexpectedSnafu {
+            what: format!("briarcove apply: {text}{said}"),
+        }
+        .fail()
+    }
+
+    fn start_instances(&mut self) -> Result<(), Error> {
+        let places = self.plan.instances();
+        let mut ports = Vec::new();
+        for _ in 0..places.len() {
+            let pair = (free_port()?, free_port()?);
+            ports.push(pair);
+        }
+        let seeds: Vec<SocketAddr> = ports.iter().take(3).map(|(_, peers)| *peers).collect();
+        for ((name, data_centre), (callers, peers)) in places.into_iter().zip(ports) {
+            let settings = self.folder.join(format!("{name}.jsonc"));
+            let text = self.plan.settings(
+                (&name, &data_centre),
+                (callers, peers),
+                self.platform_address,
+                &seeds,
+            );
+            std::fs::write(&settings, text).context(IoSnafu { what: "settings" })?;
+            let process = self.start_instance(&name, &settings)?;
+            self.instances.push(Instance {
+                process,
+                name,
+                callers,
+                settings,
+            });
+        }
+        Ok(())
+    }
+
+    fn start_instance(&self, name: &str, settings: &std::path::Path) -> Result<Process, Error> {
+        let output = self.folder.join(format!("{name}.log"));
+        let path = settings.to_string_lossy();
+        let words = ["serve", "--settings", &*path];
+        Process::start(&sibling("briarcove"), &words, &output).context(IoSnafu { what: name })
+    }
+
+    /// Starts an instance again that was killed or has ended.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the process does not start.
+    pub fn restart(&mut self, index: usize) -> Result<(), Error> {
+        self.instances[index].process.kill();
+        let (name, settings) = (
+            self.instances[index].name.clone(),
+            self.instances[index].settings.clone(),
+        );
+        self.instances[index].process = self.start_instance(&name, &settings)?;
+        Ok(())
+    }
+
+    /// Waits until an instance serves.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not in time.
+    pub async fn wait_ready(&self, index: usize) -> Result<(), Error> {
+        let address = self.instances[index].callers;
+        let end = std::time::Instant::now() + READY_WAIT;
+        while std::time::Instant::now() < end {
+            if let Ok(answered) = call(address, "GET", "/health", &[], "").await
+                && answered.status == 200
+            {
+                return Ok(());
+            }
+            compio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let log = self.log(index);
+        UnexpectedSnafu {
+            what: format!("instance {index} is not ready\n{log}"),
+        }
+        .fail()
+    }
+
+    /// Returns what an instance has logged.
+    pub fn log(&self, index: usize) -> String {
+        let path = self
+            .folder
+            .join(format!("{}.log", self.instances[index].name));
+        std::fs::read_to_string(path).unwrap_or_default()
+    }
+
+    /// Returns an instance's state as it reports it.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance does not answer.
+    pub async fn status(&self, index: usize) -> Result<Value, Error> {
+        get_json(self.instances[index].callers, "/v1/status").await
+    }
+
+    /// Returns the address of an upstream.
+    pub fn upstream(&self, name: &str) -> Option<SocketAddr> {
+        self.upstreams
+            .iter()
+            .find(|u| &*u.name == name)
+            .map(|u| u.address)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        // A folder that cannot be removed is left to the system's clean-up.
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
+fn start_upstreams(
+    plan: &FleetPlan,
+    folder: &std::path::Path,
+) -> Result<(Vec<Process>, Vec<RunningUpstream>), Error> {
+    let mut processes = Vec::new();
+    let mut upstreams = Vec::new();
+    for (number, (spec, names)) in plan.upstream_groups().into_iter().enumerate() {
+        let file = folder.join(format!("upstreams-{number}.json"));
+        std::fs::write(&file, spec).context(IoSnafu { what: "upstreams" })?;
+        let path = file.to_string_lossy();
+        let words = ["upstreams", "--spec", &*path];
+        let (process, addresses) =
+            Process::listening(&sibling("briarcove-rig"), &words, names.len())
+                .context(IoSnafu { what: "upstreams" })?;
+        processes.push(process);
+        let running = names.into_iter().zip(addresses);
+        upstreams.extend(running.map(|(name, address)| RunningUpstream { name, address }));
+    }
+    Ok((processes, upstreams))
+}
+
+fn new_folder() -> Result<PathBuf, Error> {
+    static NEXT: std::sync::atomic::AtomicU32 = std::sync::atomic::AtomicU32::new(0);
+    let number = NEXT.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+    let name = format!("briarcove-rig-{}-{number}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
+    std::fs::create_dir_all(&folder).context(IoSnafu { what: "folder" })?;
+    Ok(folder)
+}
+
+fn free_port() -> Result<SocketAddr, Error> {
+    let listener = TcpListener::bind("127.0.0.1:0").context(IoSnafu { what: "port" })?;
+    listener.local_addr().context(IoSnafu { what: "port" })
+}
--- /dev/null
+++ b/crates/rig/src/fleet/plan.rs
@@ -0,0 +1,236 @@
+//! What a set-up consists of, and the documents that follow from it.
+
+use std::net::SocketAddr;
+
+use base::{ServiceName, ShardName, SnapshotId, UpstreamName};
+use cat::{Index, Shard, Snapshot};
+use serde_json::{Map, Value, json};
+
+use super::RunningUpstream;
+use crate::upstream::{Group, Member, Params, ServiceSpec};
+
+/// One service: its upstreams, its shards and an entry of each class.
+#[derive(Clone, Debug)]
+pub struct ServicePlan {
+    /// Name of the service; entries are named `<service>-<class>`.
+    pub name: Box<str>,
+    /// Upstreams, spread over the data centres in turn.
+    pub upstreams: usize,
+    /// Shards of each snapshot.
+    pub shards: usize,
+    /// Upstreams that hold each shard.
+    pub replicas: usize,
+    /// Snapshots that are published at the start.
+    pub snapshots: u64,
+    /// Documents in the corpus.
+    pub documents: u32,
+    /// Limits of the entries, as the catalogue writes them.
+    pub limits: Value,
+    /// Behaviour of the upstreams.
+    pub params: Params,
+}
+
+impl Default for ServicePlan {
+    fn default() -> Self {
+        Self {
+            name: "contracts".into(),
+            upstreams: 4,
+            shards: 8,
+            replicas: 2,
+            snapshots: 1,
+            documents: 400,
+            limits: json!({ "deadline": "180ms" }),
+            params: Params::default(),
+        }
+    }
+}
+
+impl ServicePlan {
+    fn upstream_names(&self) -> Vec<Box<str>> {
+        (0..self.upstreams)
+            .map(|n| format!("{}-{n:03}", self.name).into())
+            .collect()
+    }
+
+    /// Returns the index with snapshots `first..=last`.
+    ///
+    /// # Panics
+    ///
+    /// Panics when the service's name is not a valid one.
+    pub fn index(&self, first: u64, last: u64) -> Index {
+        let service: ServiceName = self.name.parse().expect("a valid service name");
+        let snapshot = |id| Snapshot {
+            id: SnapshotId(id),
+            shards: self.shard_map(),
+        };
+        Index {
+            service,
+            snapshots: (first..=last).map(snapshot).collect(),
+        }
+    }
+
+    fn shard_map(&self) -> Vec<Shard> {
+        let names: Vec<UpstreamName> = self
+            .upstream_names()
+            .iter()
+            .map(|n| n.parse().expect("a valid name"))
+            .collect();
+        let shard = |s: usize| {
+            let name: ShardName = format!("shard-{s:03}").parse().expect("a valid name");
+            let replicas = (0..self.replicas).map(|r| names[(s + r) % names.len()].clone());
+            Shard {
+                name,
+                replicas: replicas.collect(),
+            }
+        };
+        (0..self.shards).map(shard).collect()
+    }
+
+    fn spec(&self) -> ServiceSpec {
+        let member = |name: Box<str>| Member {
+            name: name.parse().expect("a valid name"),
+            port: 0,
+            params: Map::new(),
+        };
+        ServiceSpec {
+            index: self.index(1, self.snapshots),
+            documents: self.documents,
+            seed: 1,
+            params: self.params.clone(),
+            upstreams: self.upstream_names().into_iter().map(member).collect(),
+        }
+    }
+}
+
+/// A whole set-up.
+#[derive(Clone, Debug)]
+pub struct FleetPlan {
+    /// Data centres with the number of their instances.
+    pub data_centres: Vec<(Box<str>, usize)>,
+    /// The services.
+    pub services: Vec<ServicePlan>,
+    /// Time that each call to the platform takes, in milliseconds.
+    pub platform_latency_ms: u64,
+    /// Watchers of the platform in each data centre.
+    pub watchers: u32,
+}
+
+impl Default for FleetPlan {
+    fn default() -> Self {
+        Self {
+            data_centres: vec![("a".into(), 1)],
+            services: vec![ServicePlan::default()],
+            platform_latency_ms: 1,
+            watchers: 2,
+        }
+    }
+}
+
+impl FleetPlan {
+    /// Returns the name and data centre of each instance.
+    pub(super) fn instances(&self) -> Vec<(Box<str>, Box<str>)> {
+        let mut instances = Vec::new();
+        for (data_centre, count) in &self.data_centres {
+            for n in 0..*count {
+                instances.push((format!("{data_centre}-{n}").into(), data_centre.clone()));
+            }
+        }
+        instances
+    }
+
+    /// Returns the index objects by service.
+    pub(super) fn indexes(&self) -> Vec<(Box<str>, String)> {
+        let index = |service: &ServicePlan| {
+            let index = service.index(1, service.snapshots);
+            (
+                service.name.clone(),
+                serde_json::to_string(&index).unwrap_or_default(),
+            )
+        };
+        self.services.iter().map(index).collect()
+    }
+
+    /// Returns the specification of each process of upstreams with the upstreams' names.
+    pub(super) fn upstream_groups(&self) -> Vec<(String, Vec<Box<str>>)> {
+        let group = |service: &ServicePlan| {
+            let groups = vec![Group {
+                services: vec![service.spec()],
+            }];
+            (
+                serde_json::to_string(&groups).unwrap_or_default(),
+                service.upstream_names(),
+            )
+        };
+        self.services.iter().map(group).collect()
+    }
+
+    /// Returns the catalogue of the running upstreams.
+    pub(super) fn catalogue(&self, running: &[RunningUpstream]) -> String {
+        let mut services = Map::new();
+        let mut entries = Map::new();
+        for service in &self.services {
+            services.insert(service.name.to_string(), self.service(service, running));
+            for class in ["latency", "coverage", "once"] {
+                let entry = json!({
+                    "service": service.name,
+                    "owner": "search desk",
+                    "class": class,
+                    "limits": limits_of(class, &service.limits),
+                });
+                entries.insert(format!("{}-{class}", service.name), entry);
+            }
+        }
+        json!({ "services": services, "entries": entries }).to_string()
+    }
+
+    fn service(&self, service: &ServicePlan, running: &[RunningUpstream]) -> Value {
+        let mut upstreams = Map::new();
+        for (n, name) in service.upstream_names().into_iter().enumerate() {
+            let Some(upstream) = running.iter().find(|u| u.name == name) else {
+                continue;
+            };
+            let (data_centre, _) = &self.data_centres[n % self.data_centres.len()];
+            let place =
+                json!({ "address": upstream.address.to_string(), "data_centre": data_centre });
+            upstreams.insert(name.into(), place);
+        }
+        json!({
+            "slots": service.params.slots,
+            "connections": service.params.connections,
+            "upstreams": upstreams,
+        })
+    }
+
+    /// Returns the settings of an instance.
+    pub(super) fn settings(
+        &self,
+        (name, data_centre): (&str, &str),
+        (callers, peers): (SocketAddr, SocketAddr),
+        platform: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> String {
+        let seeds: Vec<String> = seeds
+            .iter()
+            .filter(|s| **s != peers)
+            .map(SocketAddr::to_string)
+            .collect();
+        json!({
+            "instance": name,
+            "data_centre": data_centre,
+            "callers": { "listen": callers.to_string() },
+            "peers": { "listen": peers.to_string(), "seeds": seeds },
+            "platform": { "address": platform.to_string(), "watchers": self.watchers },
+            "log": { "format": "json", "level": "info" },
+        })
+        .to_string()
+    }
+}
+
+/// Returns the limits of an entry; one of the once class has no hedges.
+fn limits_of(class: &str, limits: &Value) -> Value {
+    let mut limits = limits.clone();
+    if let (true, Value::Object(limits)) = (class == "once", &mut limits) {
+        limits.remove("hedge");
+    }
+    limits
+}
--- /dev/null
+++ b/crates/rig/src/fleet/process.rs
@@ -0,0 +1,163 @@
+//! Child processes of a test set-up.
+
+use std::{
+    io::{self, BufRead, BufReader},
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    thread,
+    time::{Duration, Instant},
+};
+
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+
+/// A child process; it is killed when this value is dropped.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts a program whose output goes to a file.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program or the file cannot be opened.
+    pub fn start(program: &Path, words: &[&str], output: &Path) -> io::Result<Self> {
+        let file = std::fs::File::create(output)?;
+        let child = Command::new(program)
+            .args(words)
+            .stdin(Stdio::null())
+            .stdout(file.try_clone()?)
+            .stderr(file)
+            .spawn()?;
+        Ok(Self { child })
+    }
+
+    /// Starts a server and returns the addresses that it says it listens on.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the program cannot be started or ends before it listens.
+    pub fn listening(
+        program: &Path,
+        words: &[&str],
+        count: usize,
+    ) -> io::Result<(Self, Vec<SocketAddr>)> {
+        let mut child = Command::new(program)
+            .args(words)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let output = child.stdout.take().ok_or(io::ErrorKind::BrokenPipe)?;
+        let mut lines = BufReader::new(output).lines();
+        let mut addresses = Vec::new();
+        while addresses.len() < count {
+            let line = lines.next().ok_or(io::ErrorKind::UnexpectedEof)??;
+            let address = line
+                .split_whitespace()
+                .nth(1)
+                .and_then(|text| text.parse::<SocketAddr>().ok());
+            addresses.extend(address);
+        }
+        Ok((Self { child }, addresses))
+    }
+
+    /// Returns the process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = i32::try_from(self.child.id()).unwrap_or(i32::MAX);
+        // The process may have ended already.
+        let _ = kill(Pid::from_raw(id), signal);
+    }
+
+    /// Stops the process where it stands.
+    pub fn pause(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets a stopped process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Asks the process to end.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Kills the process.
+    pub fn kill(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    /// Waits for the end of the process; returns whether it came in time.
+    pub fn wait(&mut self, longest: Duration) -> bool {
+        let end = Instant::now() + longest;
+        while Instant::now() < end {
+            if matches!(self.child.try_wait(), Ok(Some(_))) {
+                return true;
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        false
+    }
+
+    /// Returns the processor time used and the resident memory, as the kernel counts them.
+    pub fn usage(&self) -> Option<Usage> {
+        Usage::of(self.child.id())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.resume();
+        self.kill();
+    }
+}
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor time of all threads.
+    pub cpu: Duration,
+    /// Resident memory, in bytes.
+    pub resident: u64,
+}
+
+/// Clock ticks a second in `/proc/*/stat`.
+const TICKS_PER_SECOND: u64 = 100;
+
+impl Usage {
+    /// Returns the usage of a process.
+    pub fn of(id: u32) -> Option<Self> {
+        let stat = std::fs::read_to_string(format!("/proc/{id}/stat")).ok()?;
+        let fields: Vec<&str> = stat.rsplit(')').next()?.split_whitespace().collect();
+        let ticks = fields.get(11)?.parse::<u64>().ok()? + fields.get(12)?.parse::<u64>().ok()?;
+        let status = std::fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+        let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(Self {
+            cpu: Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND),
+            resident: kib * 1_024,
+        })
+    }
+}
+
+/// Returns a program that was built beside the running one.
+pub fn sibling(name: &str) -> PathBuf {
+    let running = std::env::current_exe().unwrap_or_default();
+    let mut folder = running.parent().unwrap_or(Path::new(".")).to_path_buf();
+    if folder.ends_with("deps") || folder.ends_with("examples") {
+        folder.pop();
+    }
+    folder.join(name)
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,8 @@
 //! Every server runs on one thread with one compio runtime and stops when its handle is dropped.
 
 pub mod client;
+pub mod demo;
+pub mod fleet;
 pub mod history;
 pub mod platform;
 pub mod reply;
