briarcove: follow the renamed settings fixture of cat

The test of check named a fixture that cat has renamed after it holds six faults. It now asserts the exact number of errors of each file, five and six, where it asked for five or more.

--- a/crates/briarcove/tests/check.rs
+++ b/crates/briarcove/tests/check.rs
@@ -10,16 +10,21 @@
 }
 
 #[test]
-fn five_faults_give_five_findings_with_their_places() {
-    for kind in ["catalogue", "settings"] {
-        let file = format!("{FIXTURES}/{kind}/invalid/five_faults.jsonc");
+fn every_fault_gives_a_finding_with_its_place() {
+    for (file, faults) in [
+        ("catalogue/invalid/five_faults", 5),
+        ("settings/invalid/many_faults", 6),
+    ] {
+        let file = format!("{FIXTURES}/{file}.jsonc");
         let run = briarcove(&["check", &file]).expect(1);
-        let lines: Vec<&str> = run.out.lines().collect();
-        let errors = lines.iter().filter(|line| line.contains(": error: "));
         let expected = std::fs::read_to_string(file.replace(".jsonc", ".txt")).unwrap();
-        assert_eq!(lines.len(), expected.lines().count(), "{run:#?}");
-        assert!(errors.count() >= 5, "{run:#?}");
-        for (line, expected) in lines.iter().zip(expected.lines()) {
+        assert_eq!(run.out.matches(": error: ").count(), faults, "{run:#?}");
+        assert_eq!(
+            run.out.lines().count(),
+            expected.lines().count(),
+            "{run:#?}"
+        );
+        for (line, expected) in run.out.lines().zip(expected.lines()) {
             assert!(line.ends_with(expected), "{line}");
             assert!(line.starts_with(&file), "{line}");
         }
