--- a/crates/briarcove/src/serve/shell.rs
+++ b/crates/briarcove/src/serve/shell.rs
@@ -11,7 +11,9 @@
 use front::{Front, Status};
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::StreamExt;
-use node::{Config, Effect, Event, Identity, Node, PlatformOp};
+use node::{
+    Config, Effect, Event, Identity, Node, PlatformOp, members::MembersConfig, store::SyncConfig,
+};
 use slog::{Logger, info, warn};
 use snafu::ResultExt;
 
@@ -41,6 +43,25 @@
     log: Logger,
 }
 
+/// Returns the reducer's settings.
+fn node_config(cfg: &cat::Settings) -> Config {
+    let members = MembersConfig {
+        heartbeat: cfg.peers.heartbeat,
+        suspect_after: cfg.peers.suspect_after,
+        remove_after: cfg.peers.remove_after,
+        budget: cfg.peers.budget,
+        seeds: cfg.peers.seeds.clone(),
+        watchers: cfg.platform.watchers as usize,
+        ..MembersConfig::default()
+    };
+    let sync = SyncConfig {
+        watch_wait: cfg.platform.watch_wait,
+        timeout: cfg.platform.timeout,
+        ..SyncConfig::default()
+    };
+    Config { sync, members }
+}
+
 /// Whether the loop goes on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Flow {
@@ -85,7 +106,7 @@
         );
         Ok(Self {
             clock: Instant::now(),
-            node: Node::new(identity, Config::default(), Time::ZERO, seed),
+            node: Node::new(identity, node_config(cfg), Time::ZERO, seed),
             front: Front::new(front_cfg, events.clone(), log.clone()),
             pools: up::Pools::new(up::Settings::default(), events.clone()),
             links,
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -37,7 +37,8 @@
             effects,
         };
         self.sync.poll(&mut cx, &self.members, &self.store);
-        self.stats.ready = self.store.head().is_some() && self.sync.is_ready(now, &self.store);
+        self.settled |= self.view.1;
+        self.stats.ready = self.settled && self.sync.is_ready(now, &self.store);
     }
 
     /// Puts what changed in the store into force.
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -75,6 +75,8 @@
     pub(crate) members: Members,
     /// View of the members that owners and routes follow, and whether it was fresh.
     pub(crate) view: (Epoch, bool),
+    /// Whether the view of the members has ever been fresh.
+    pub(crate) settled: bool,
     pub(crate) silence: Silence,
     pub(crate) owners: Owners,
     pub(crate) outbox: Outbox,
@@ -112,6 +114,7 @@
             probes: Probes::default(),
             members: Members::new(cfg.members, me, now),
             view: (Epoch::default(), false),
+            settled: false,
             silence: Silence::default(),
             owners,
             outbox: Outbox::default(),
--- a/crates/node/src/object.rs
+++ b/crates/node/src/object.rs
@@ -27,7 +27,10 @@
 
 impl Kind {
     /// The kinds that every instance watches.
-    pub const WATCHED: [Self; 4] = [Self::Catalogue, Self::Document, Self::Index, Self::Liveness];
+    ///
+    /// Documents are read when a head refers to them: a watch from the start would return every
+    /// document that was ever accepted.
+    pub const WATCHED: [Self; 3] = [Self::Catalogue, Self::Index, Self::Liveness];
 
     /// Returns the name of the kind in the object API.
     pub fn as_str(self) -> &'static str {
