rig: Read and write sockets without buffers of the stream's own

cyper_core::HyperStream copies each byte through a buffer and allocates a future for each read and write. The stand-ins have to cost less than the instance under test, so they poll the socket's readiness directly.

Upstreams mix their name into their seed; with the same seed all of them slowed down at the same requests.

--- a/crates/rig/src/client.rs
+++ b/crates/rig/src/client.rs
@@ -4,12 +4,13 @@
 
 use bytes::Bytes;
 use compio::net::TcpStream;
-use cyper_core::HyperStream;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::client::conn::http1;
 use snafu::{ResultExt, Snafu};
 
+use crate::stream::Stream;
+
 /// Why a request got no reply.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -46,7 +47,8 @@
             .context(ConnectSnafu { address })?;
         // Without the option requests are only slower.
         let _ = stream.set_nodelay(true);
-        let (sender, connection) = http1::handshake(HyperStream::new_plain(stream))
+        let stream = stream.into_poll_fd().context(ConnectSnafu { address })?;
+        let (sender, connection) = http1::handshake(Stream::new(stream))
             .await
             .context(ExchangeSnafu)?;
         compio::runtime::spawn(async move {
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod platform;
 pub mod reply;
 pub mod server;
+mod stream;
 pub mod upstream;
--- a/crates/rig/src/server.rs
+++ b/crates/rig/src/server.rs
@@ -17,7 +17,6 @@
     net::{TcpListener, TcpStream},
     runtime::Runtime,
 };
-use cyper_core::HyperStream;
 use futures_channel::{mpsc, oneshot};
 use futures_util::{
     StreamExt,
@@ -26,7 +25,10 @@
 use hyper::{Request, body::Incoming, server::conn::http1, service::service_fn};
 use snafu::{ResultExt, Snafu};
 
-use crate::reply::{Abort, Reply};
+use crate::{
+    reply::{Abort, Reply},
+    stream::Stream,
+};
 
 /// Pause between attempts to bind an address again after a simulated crash.
 const REBIND_PAUSE: Duration = Duration::from_millis(5);
@@ -212,11 +214,14 @@
 ) {
     // Without the option replies are only slower.
     let _ = stream.set_nodelay(true);
+    let Ok(stream) = stream.into_poll_fd() else {
+        return;
+    };
     let first = Cell::new(true);
     let service = service_fn(|req| Rc::clone(&guard.handler).handle(first.replace(false), req));
     let connection = http1::Builder::new()
         .auto_date_header(false)
-        .serve_connection(HyperStream::new_plain(stream), service);
+        .serve_connection(Stream::new(stream), service);
     // Errors are the client's or a simulated fault; the connection ends in either case.
     let _ = select(pin!(connection), closed).await;
 }
--- a/crates/rig/src/upstream/params.rs
+++ b/crates/rig/src/upstream/params.rs
@@ -72,7 +72,7 @@
     pub slow_every: u32,
     /// How many times longer a slow request takes.
     pub slow_factor: u32,
-    /// Seed of the random draws.
+    /// Seed of the random draws, together with the upstream's name.
     pub seed: u64,
     /// Time after a start in which the upstream is cold, in milliseconds: it answers 503 in the
     /// first half, and every request is slow in the second.
--- a/crates/rig/src/upstream/state.rs
+++ b/crates/rig/src/upstream/state.rs
@@ -13,6 +13,7 @@
 use http::{HeaderValue, StatusCode};
 use rand::{SeedableRng, rngs::SmallRng};
 use serde_json::json;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::{
     corpus::{Corpus, ShardIndex},
@@ -83,7 +84,11 @@
             slots: Slots::new(params.slots),
             connections: Connections::new(params.connections),
             log: RefCell::default(),
-            rng: RefCell::new(SmallRng::seed_from_u64(params.seed)),
+            // Upstreams with the same parameters draw differently.
+            rng: RefCell::new(SmallRng::seed_from_u64(xxh3_64_with_seed(
+                name.as_str().as_bytes(),
+                params.seed,
+            ))),
             params: RefCell::new(params),
             cancels: RefCell::default(),
             last_answer: RefCell::default(),
