rig: Add the load generator and the subcommands

Open-loop latency counts from the intended time of sending, so that a stalled instance is charged for the requests that wait behind the stall. Gaps are exponential and seeded.

--- /dev/null
+++ b/crates/rig/src/cli.rs
@@ -0,0 +1,224 @@
+//! Subcommands of `briarcove-rig`.
+
+use std::{fs, future::pending, io, net::SocketAddr, path::PathBuf, time::Duration};
+
+use base::EntryName;
+use bytes::Bytes;
+use compio::runtime::Runtime;
+use gumdrop::Options;
+use rig::{load, platform, server, upstream};
+use snafu::{OptionExt, ResultExt, Snafu};
+
+/// Longest time that a server or a load runs, in seconds.
+const MAX_SECONDS: f64 = 86_400.0;
+/// Connections of an open-loop load that names no number.
+const OPEN_CONNECTIONS: usize = 256;
+/// Bodies of a load that names none.
+const DEFAULT_BODIES: [&str; 4] = [
+    r#"{"query":"harpist cardiff","limit":5}"#,
+    r#"{"query":"male voice choir wedding","limit":5}"#,
+    r#"{"query":"certified transcript fraud trial","limit":5}"#,
+    r#"{"query":"custody hearing riga","limit":5}"#,
+];
+
+/// Stand-ins and load for tests of briarcove.
+#[derive(Debug, Options)]
+pub(crate) struct Args {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(command, required)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    #[options(help = "run a stand-in for the platform")]
+    Platform(PlatformArgs),
+    #[options(help = "run stand-in upstreams")]
+    Upstreams(UpstreamsArgs),
+    #[options(help = "send load to instances")]
+    Load(LoadArgs),
+}
+
+#[derive(Debug, Options)]
+struct PlatformArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, help = "port on 127.0.0.1; 0 takes a free one")]
+    port: u16,
+    #[options(no_short, help = "time that every call takes, in ms")]
+    latency_ms: u64,
+    #[options(no_short, help = "time after which the server stops")]
+    seconds: Option<f64>,
+}
+
+#[derive(Debug, Options)]
+struct UpstreamsArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        no_short,
+        required,
+        help = "JSON file: a list of groups, a thread each"
+    )]
+    spec: PathBuf,
+    #[options(no_short, help = "time after which the servers stop")]
+    seconds: Option<f64>,
+}
+
+#[derive(Debug, Options)]
+struct LoadArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        no_short,
+        required,
+        help = "instances as IP:PORT[,IP:PORT]",
+        parse(try_from_str = "addresses")
+    )]
+    target: Addresses,
+    #[options(no_short, required, help = "catalogue entry")]
+    entry: Option<EntryName>,
+    #[options(no_short, help = "send runs rather than searches")]
+    run: bool,
+    #[options(no_short, help = "open loop: requests a second")]
+    rate: Option<f64>,
+    #[options(no_short, help = "closed loop: requests in flight")]
+    concurrency: Option<usize>,
+    #[options(no_short, help = "open loop: connections, 256 if not given")]
+    connections: Option<usize>,
+    #[options(no_short, help = "time in which requests are sent", default = "10")]
+    seconds: f64,
+    #[options(no_short, help = "requests at most")]
+    count: Option<u64>,
+    #[options(no_short, help = "request body; may be given more than once")]
+    body: Vec<String>,
+    #[options(no_short, help = "deadline that requests carry, in ms")]
+    deadline_ms: Option<u64>,
+    #[options(no_short, help = "seed of gaps and idempotency keys")]
+    seed: u64,
+}
+
+#[derive(Debug, Default)]
+struct Addresses(Vec<SocketAddr>);
+
+fn addresses(text: &str) -> Result<Addresses, std::net::AddrParseError> {
+    let parsed: Result<_, _> = text.split(',').map(str::parse).collect();
+    parsed.map(Addresses)
+}
+
+/// Why a subcommand failed.
+#[derive(Debug, Snafu)]
+pub(crate) enum Error {
+    #[snafu(display("cannot read {}: {source}", path.display()))]
+    ReadSpec { path: PathBuf, source: io::Error },
+    #[snafu(display("{} is not valid: {source}", path.display()))]
+    ParseSpec {
+        path: PathBuf,
+        source: serde_json::Error,
+    },
+    #[snafu(display("give --entry"))]
+    Entry,
+    #[snafu(display("give one of --rate and --concurrency"))]
+    Pace,
+    #[snafu(display("cannot start a runtime: {source}"))]
+    StartRuntime { source: io::Error },
+    #[snafu(display("cannot encode the report: {source}"))]
+    Encode { source: serde_json::Error },
+    #[snafu(transparent)]
+    Server { source: server::Error },
+    #[snafu(transparent)]
+    Upstream { source: upstream::Error },
+    #[snafu(transparent)]
+    Load { source: load::Error },
+}
+
+impl Args {
+    /// Runs the subcommand to its end.
+    pub(crate) fn run(self) -> Result<(), Error> {
+        match self.command {
+            Some(Command::Platform(args)) => run_platform(&args),
+            Some(Command::Upstreams(args)) => run_upstreams(args),
+            Some(Command::Load(args)) => run_load(args),
+            None => Ok(()),
+        }
+    }
+}
+
+fn run_platform(args: &PlatformArgs) -> Result<(), Error> {
+    let server = platform::spawn(platform::Config {
+        port: args.port,
+        latency: Duration::from_millis(args.latency_ms),
+    })?;
+    for address in server.addresses() {
+        println!("listening {address}");
+    }
+    wait(args.seconds)
+}
+
+fn run_upstreams(args: UpstreamsArgs) -> Result<(), Error> {
+    let path = args.spec;
+    let text = fs::read(&path).context(ReadSpecSnafu { path: &path })?;
+    let groups: Vec<upstream::Group> =
+        serde_json::from_slice(&text).context(ParseSpecSnafu { path: &path })?;
+    let groups = groups.into_iter().map(upstream::Upstreams::spawn);
+    let running = groups.collect::<Result<Vec<_>, _>>()?;
+    for (name, address) in running.iter().flat_map(upstream::Upstreams::addresses) {
+        println!("listening {address} {name}");
+    }
+    wait(args.seconds)
+}
+
+/// Waits for `seconds`, or until a signal ends the process.
+fn wait(seconds: Option<f64>) -> Result<(), Error> {
+    let runtime = Runtime::new().context(StartRuntimeSnafu)?;
+    runtime.block_on(async {
+        match seconds {
+            Some(seconds) => compio::time::sleep(span(seconds)).await,
+            None => pending().await,
+        }
+    });
+    Ok(())
+}
+
+fn run_load(args: LoadArgs) -> Result<(), Error> {
+    let cfg = load_config(args)?;
+    let runtime = Runtime::new().context(StartRuntimeSnafu)?;
+    let report = runtime.block_on(load::run(&cfg))?;
+    eprint!("{report}");
+    let json = serde_json::to_string(&report).context(EncodeSnafu)?;
+    println!("{json}");
+    Ok(())
+}
+
+fn load_config(args: LoadArgs) -> Result<load::Config, Error> {
+    let (pace, connections) = match (args.rate, args.concurrency) {
+        (Some(rate), None) if rate > 0.0 => (load::Pace::Open(rate), OPEN_CONNECTIONS),
+        (None, Some(concurrency)) => (load::Pace::Closed, concurrency),
+        _ => return PaceSnafu.fail(),
+    };
+    let mut bodies: Vec<Bytes> = args.body.into_iter().map(Bytes::from).collect();
+    if bodies.is_empty() {
+        bodies.extend(DEFAULT_BODIES.map(Bytes::from));
+    }
+    Ok(load::Config {
+        targets: args.target.0,
+        entry: args.entry.context(EntrySnafu)?,
+        kind: if args.run {
+            load::Kind::Run
+        } else {
+            load::Kind::Search
+        },
+        pace,
+        connections: args.connections.unwrap_or(connections),
+        duration: span(args.seconds),
+        count: args.count.unwrap_or(u64::MAX),
+        bodies,
+        deadline: args.deadline_ms.map(Duration::from_millis),
+        seed: args.seed,
+    })
+}
+
+fn span(seconds: f64) -> Duration {
+    Duration::from_secs_f64(seconds.clamp(0.0, MAX_SECONDS))
+}
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every server runs on one thread with one compio runtime and stops when its handle is dropped.
 
 pub mod client;
+pub mod load;
 pub mod platform;
 pub mod reply;
 pub mod server;
--- /dev/null
+++ b/crates/rig/src/load/mod.rs
@@ -0,0 +1,228 @@
+//! Load towards the caller endpoints of instances, at a set rate or a set concurrency.
+
+mod report;
+
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use base::EntryName;
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::{HeaderValue, Request, Response, Uri};
+use http_body_util::Full;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use snafu::Snafu;
+
+pub use report::{Coverage, Latency, Report, RunRecord};
+
+use crate::client::Client;
+use report::Recorder;
+
+/// Longest wait for one reply.
+const REPLY_TIMEOUT: Duration = Duration::from_secs(30);
+/// Pause before a broken connection is made again.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(10);
+
+/// Why a load did not start.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// There is nothing to send or nowhere to send it.
+    #[snafu(display("a load needs a target, a body and at least one connection"))]
+    Empty,
+    /// The entry's name gives no valid path.
+    #[snafu(display("the entry's path is not valid: {source}"))]
+    Path {
+        /// Cause given by the HTTP library.
+        source: http::uri::InvalidUri,
+    },
+}
+
+/// When requests are sent.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Pace {
+    /// At this many a second, whether or not earlier ones are answered, with random gaps. Each
+    /// latency counts from the intended time of sending.
+    Open(f64),
+    /// Each connection sends when its last request is answered.
+    Closed,
+}
+
+/// What is asked of the entry.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Kind {
+    /// Searches.
+    #[default]
+    Search,
+    /// Runs; each has an idempotency key of its own and is recorded in the report.
+    Run,
+}
+
+/// Settings of one load.
+#[derive(Clone, Debug)]
+pub struct Config {
+    /// Instances; connections are spread over them evenly.
+    pub targets: Vec<SocketAddr>,
+    /// Entry that is asked.
+    pub entry: EntryName,
+    /// What is asked of the entry.
+    pub kind: Kind,
+    /// When requests are sent.
+    pub pace: Pace,
+    /// Connections; each carries one request at a time.
+    pub connections: usize,
+    /// Time after which no request is sent any more.
+    pub duration: Duration,
+    /// Number after which no request is sent any more.
+    pub count: u64,
+    /// Bodies, sent in turn.
+    pub bodies: Vec<Bytes>,
+    /// Deadline that the requests carry.
+    pub deadline: Option<Duration>,
+    /// Seed of the gaps between requests and of the idempotency keys.
+    pub seed: u64,
+}
+
+/// Sends the load on the current runtime and reports what came of it.
+///
+/// # Errors
+///
+/// Fails before the first request when the settings are not valid.
+pub async fn run(cfg: &Config) -> Result<Report, Error> {
+    if cfg.targets.is_empty() || cfg.bodies.is_empty() || cfg.connections == 0 {
+        return Err(Error::Empty);
+    }
+    let load = Load::new(cfg)?;
+    let targets = cfg.targets.iter().cycle().take(cfg.connections);
+    join_all(targets.map(|target| load.drive(*target))).await;
+    let elapsed = load.began.elapsed();
+    Ok(load.recorder.into_inner().report(elapsed))
+}
+
+/// One request to send.
+struct Turn {
+    number: u64,
+    intended: Instant,
+}
+
+struct Load<'a> {
+    cfg: &'a Config,
+    path: Uri,
+    deadline: Option<HeaderValue>,
+    began: Instant,
+    sent: Cell<u64>,
+    next: Cell<Instant>,
+    rng: RefCell<StdRng>,
+    recorder: RefCell<Recorder>,
+}
+
+impl<'a> Load<'a> {
+    fn new(cfg: &'a Config) -> Result<Self, Error> {
+        let action = match cfg.kind {
+            Kind::Search => "search",
+            Kind::Run => "run",
+        };
+        let path = format!("/v1/entries/{}/{action}", cfg.entry);
+        let began = Instant::now();
+        Ok(Self {
+            cfg,
+            path: path.parse().map_err(|source| Error::Path { source })?,
+            deadline: cfg.deadline.map(|d| millis(d).into()),
+            began,
+            sent: Cell::new(0),
+            next: Cell::new(began),
+            rng: RefCell::new(StdRng::seed_from_u64(cfg.seed)),
+            recorder: RefCell::new(Recorder::new()),
+        })
+    }
+
+    /// Sends requests over one connection until the load ends.
+    async fn drive(&self, target: SocketAddr) {
+        let mut client = None;
+        while let Some(turn) = self.take_turn() {
+            if turn.intended > Instant::now() {
+                compio::time::sleep_until(turn.intended).await;
+            }
+            let key = self.key(turn.number);
+            let req = self.request(turn.number, key.as_deref());
+            let reply = exchange(&mut client, target, req).await;
+            let latency = turn.intended.elapsed();
+            self.record(key, reply.as_ref(), latency);
+            if reply.is_none() {
+                client = None;
+                compio::time::sleep(RECONNECT_PAUSE).await;
+            }
+        }
+    }
+
+    fn record(&self, key: Option<Box<str>>, reply: Option<&Response<Bytes>>, latency: Duration) {
+        self.recorder.borrow_mut().record(key, reply, latency);
+    }
+
+    fn take_turn(&self) -> Option<Turn> {
+        let number = self.sent.get();
+        let intended = match self.cfg.pace {
+            Pace::Open(rate) => self.advance(rate),
+            Pace::Closed => Instant::now(),
+        };
+        if number >= self.cfg.count || intended >= self.began + self.cfg.duration {
+            return None;
+        }
+        self.sent.set(number + 1);
+        Some(Turn { number, intended })
+    }
+
+    /// Returns the next intended time and draws the gap that follows it.
+    fn advance(&self, rate: f64) -> Instant {
+        let draw: f64 = self.rng.borrow_mut().random();
+        let gap = -(1.0 - draw).ln() / rate;
+        let gap = Duration::try_from_secs_f64(gap).unwrap_or(self.cfg.duration);
+        let intended = self.next.get();
+        self.next.set(intended + gap);
+        intended
+    }
+
+    fn key(&self, number: u64) -> Option<Box<str>> {
+        match self.cfg.kind {
+            Kind::Search => None,
+            Kind::Run => Some(format!("load-{}-{number}", self.cfg.seed).into()),
+        }
+    }
+
+    fn request(&self, number: u64, key: Option<&str>) -> Request<Full<Bytes>> {
+        let bodies = &self.cfg.bodies;
+        let turn = usize::try_from(number).unwrap_or_default() % bodies.len();
+        let mut req = Request::new(Full::new(bodies[turn].clone()));
+        *req.method_mut() = http::Method::POST;
+        *req.uri_mut() = self.path.clone();
+        let headers = req.headers_mut();
+        headers.insert("host", HeaderValue::from_static("localhost"));
+        if let Some(deadline) = &self.deadline {
+            headers.insert("deadline-ms", deadline.clone());
+        }
+        if let Some(Ok(key)) = key.map(HeaderValue::from_str) {
+            headers.insert("idempotency-key", key);
+        }
+        req
+    }
+}
+
+/// Sends one request, on a new connection if need be; `None` means that there was no reply.
+async fn exchange(
+    client: &mut Option<Client>,
+    target: SocketAddr,
+    req: Request<Full<Bytes>>,
+) -> Option<Response<Bytes>> {
+    if client.as_ref().is_none_or(Client::is_closed) {
+        *client = Client::connect(target).await.ok();
+    }
+    let reply = client.as_mut()?.send(req);
+    let reply = compio::time::timeout(REPLY_TIMEOUT, reply).await;
+    reply.ok()?.ok()
+}
+
+fn millis(span: Duration) -> u64 {
+    u64::try_from(span.as_millis()).unwrap_or(u64::MAX)
+}
--- a/crates/rig/src/main.rs
+++ b/crates/rig/src/main.rs
@@ -1,2 +1,17 @@
 //! Entry point of the test-only `briarcove-rig` binary.
-fn main() {}
+
+mod cli;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+
+fn main() -> ExitCode {
+    match cli::Args::parse_args_default_or_exit().run() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            eprintln!("briarcove-rig: {e}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/tests/cases/load.rs
@@ -0,0 +1,99 @@
+//! Counts, bounds and coverage of the load generator.
+
+use std::{cell::Cell, net::Ipv4Addr, rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use compio::net::TcpListener;
+use http::{Request, StatusCode};
+use hyper::body::Incoming;
+use rig::{
+    load::{self, Config, Kind, Pace},
+    reply::{self, Abort, Reply},
+    server::{self, Connections, Handler, Server},
+};
+
+use super::block_on;
+
+/// Answers in turn with full coverage, partial coverage, a refusal and nothing.
+struct Instance {
+    connections: Connections,
+    turn: Cell<u64>,
+}
+
+impl Handler for Instance {
+    fn connections(&self) -> &Connections {
+        &self.connections
+    }
+
+    async fn handle(self: Rc<Self>, _first: bool, req: Request<Incoming>) -> Result<Reply, Abort> {
+        assert_eq!(req.uri().path(), "/v1/entries/shortlist/search");
+        let turn = self.turn.replace(self.turn.get() + 1);
+        let answer = |coverage: &str| {
+            let hits = r#"[{"text":"a \"coverage\": b"}]"#;
+            let body = format!(r#"{{"hits":{hits},"coverage":{coverage}}}"#);
+            Ok(reply::with_body(StatusCode::OK, body.into()))
+        };
+        match turn % 4 {
+            0 => answer(r#"{"asked":3,"answered":3,"missing":[]}"#),
+            1 => answer(r#"{"asked":3,"answered":2,"missing":["b"]}"#),
+            2 => Ok(reply::empty(StatusCode::SERVICE_UNAVAILABLE)),
+            _ => Err(Abort),
+        }
+    }
+}
+
+fn start() -> Server {
+    let server = Server::spawn(|| async {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        let instance = Instance {
+            connections: Connections::new(100),
+            turn: Cell::new(0),
+        };
+        compio::runtime::spawn(server::serve(listener, Rc::new(instance))).detach();
+        Ok(vec![address])
+    });
+    server.unwrap()
+}
+
+fn config(server: &Server, pace: Pace) -> Config {
+    Config {
+        targets: server.addresses().to_vec(),
+        entry: "shortlist".parse().unwrap(),
+        kind: Kind::Search,
+        pace,
+        connections: 4,
+        duration: Duration::from_secs(10),
+        count: 40,
+        bodies: vec![Bytes::from_static(b"{}")],
+        deadline: None,
+        seed: 1,
+    }
+}
+
+#[test]
+fn a_closed_loop_counts_outcomes_and_coverage() {
+    let server = start();
+    let report = block_on(load::run(&config(&server, Pace::Closed))).unwrap();
+    assert_eq!((report.all.count, report.failed), (40, 10));
+    assert_eq!(report.statuses[&200].count, 20);
+    assert_eq!(report.statuses[&503].count, 10);
+    let coverage = report.coverage;
+    assert_eq!((coverage.full, coverage.partial), (10, 10));
+    assert_eq!((coverage.none, coverage.inconsistent), (0, 0));
+    assert_eq!((coverage.answered, coverage.asked), (50, 60));
+}
+
+#[test]
+fn an_open_loop_keeps_its_rate_until_its_time_is_over() {
+    let server = start();
+    let cfg = Config {
+        duration: Duration::from_secs(1),
+        count: u64::MAX,
+        connections: 32,
+        ..config(&server, Pace::Open(200.0))
+    };
+    let report = block_on(load::run(&cfg)).unwrap();
+    assert!((120..280).contains(&report.all.count), "{report}");
+    assert!(report.seconds < 5.0, "{report}");
+}
