--- a/crates/rig/src/load/mod.rs
+++ b/crates/rig/src/load/mod.rs
@@ -13,7 +13,7 @@
 use futures_util::future::join_all;
 use http::{HeaderValue, Request, Response, Uri};
 use http_body_util::Full;
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 use snafu::Snafu;
 
 pub use report::{Coverage, Latency, Report, RunRecord};
@@ -114,7 +114,7 @@
     began: Instant,
     sent: Cell<u64>,
     next: Cell<Instant>,
-    rng: RefCell<SmallRng>,
+    rng: RefCell<StdRng>,
     recorder: RefCell<Recorder>,
 }
 
@@ -133,7 +133,7 @@
             began,
             sent: Cell::new(0),
             next: Cell::new(began),
-            rng: RefCell::new(SmallRng::seed_from_u64(cfg.seed)),
+            rng: RefCell::new(StdRng::seed_from_u64(cfg.seed)),
             recorder: RefCell::new(Recorder::new()),
         })
     }
