Add membership by probes and gossip

All-to-all heartbeats cost 22 KB/s at 93 instances a data centre, so each instance probes its peers in rotation at a fixed rate and a suspicion is told to a few, who probe for themselves. Gossip alone never changes a view.

--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod effect;
 pub mod event;
+pub mod members;
 pub mod node;
 pub mod object;
 pub mod protocol;
--- /dev/null
+++ b/crates/node/src/members.rs
@@ -0,0 +1,339 @@
+//! Membership: which instances are live, by probes and gossip.
+//!
+//! Every instance probes the members of its data centre in a shuffled rotation at a fixed rate, so
+//! the cost does not grow with the data centre. A member that leaves a probe unanswered is suspected
+//! and probed again, and a few others are told; a member that stays silent is removed. Gossip never
+//! changes the view by itself: it only makes the receiver probe, so a false rumour ends at the first
+//! answer. Membership is a hint for efficiency, and no promise rests on it.
+
+mod budget;
+mod gossip;
+mod learn;
+mod member;
+mod probe;
+mod rendezvous;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+use base::{ByteSize, DataCentre, Incarnation, InstanceName, Time, UpstreamName, Version};
+use rand::{SeedableRng, rngs::SmallRng};
+
+use crate::{
+    effect::{Effect, Note, PeerAddress},
+    store::{PeerNews, Peers},
+};
+use budget::Budget;
+pub use gossip::Hints;
+use gossip::Rumour;
+pub use member::Liveness;
+use member::{Member, Standing};
+
+/// Peers that must answer after a start or a pause before the view is trusted.
+const ROUND: usize = 2;
+
+/// Probes after a start or a pause that ask for a sample of the members.
+const ASKS: u32 = 6;
+
+/// Settings of the membership.
+#[derive(Clone, Debug)]
+pub struct MembersConfig {
+    /// Interval between probes of the own data centre.
+    pub heartbeat: Duration,
+    /// Time after which an unanswered probe makes its member suspect.
+    pub suspect_after: Duration,
+    /// Time after which a member that answers no probe is removed; shorter when another member
+    /// suspects it too.
+    pub remove_after: Duration,
+    /// Interval between probes of each other data centre.
+    pub far_heartbeat: Duration,
+    /// Interval between probes of removed members and of seeds.
+    pub lost_heartbeat: Duration,
+    /// Time for which removed members are probed.
+    pub lost_for: Duration,
+    /// Control bytes a second beyond which gossip and hints wait.
+    pub budget: ByteSize,
+    /// Addresses of instances to ask at the start.
+    pub seeds: Vec<SocketAddr>,
+    /// Instances of each data centre that watch the platform.
+    pub watchers: usize,
+    /// Instances of each data centre that probe each other data centre.
+    pub bridges: usize,
+}
+
+impl Default for MembersConfig {
+    fn default() -> Self {
+        Self {
+            heartbeat: Duration::from_millis(200),
+            suspect_after: Duration::from_millis(300),
+            remove_after: Duration::from_millis(1_000),
+            far_heartbeat: Duration::from_secs(1),
+            lost_heartbeat: Duration::from_secs(2),
+            lost_for: Duration::from_secs(600),
+            budget: ByteSize(2 << 10),
+            seeds: Vec::new(),
+            watchers: 2,
+            bridges: 2,
+        }
+    }
+}
+
+/// Who an instance is.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    /// Name of the instance.
+    pub name: InstanceName,
+    /// Data centre of the instance.
+    pub data_centre: DataCentre,
+    /// Address on which it accepts peers.
+    pub address: SocketAddr,
+    /// Start count.
+    pub incarnation: Incarnation,
+}
+
+/// Count of the changes of a view; it grows whenever an owner may change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Epoch(pub u64);
+
+/// The membership as one instance sees it.
+#[derive(Debug)]
+pub struct Members {
+    cfg: MembersConfig,
+    me: Identity,
+    my_key: u64,
+    leaving: bool,
+    epoch: Epoch,
+    members: BTreeMap<InstanceName, Member>,
+    rumours: Vec<Rumour>,
+    /// Members that gossip says are suspect or restarted; they are probed at the next tick.
+    doubted: BTreeSet<InstanceName>,
+    rng: SmallRng,
+    budget: Budget,
+    /// Members still to be probed in this round of the rotation.
+    rotation: Vec<InstanceName>,
+    /// Members of this data centre and of others that were gossiped last.
+    gossiped_near: Option<InstanceName>,
+    gossiped_far: Option<InstanceName>,
+    hint_cursor: usize,
+    sequence: u64,
+    /// Sequence of the first probe since the view became stale.
+    stale_sequence: u64,
+    /// Time since which the view is stale; `None` when it is fresh.
+    stale_since: Option<Time>,
+    answers: usize,
+    /// Probes that may still ask for a sample of the members.
+    asks_left: u32,
+    last_tick: Time,
+    next_probe: Time,
+    next_far: Time,
+    next_lost: Time,
+    wake: Time,
+    sent_bytes: u64,
+}
+
+impl Members {
+    /// Makes a view without members; the seeds are probed at the first tick.
+    pub fn new(cfg: MembersConfig, me: Identity, now: Time) -> Self {
+        let my_key = rendezvous::key(me.name.as_str());
+        Self {
+            my_key,
+            leaving: false,
+            epoch: Epoch::default(),
+            members: BTreeMap::new(),
+            rumours: Vec::new(),
+            doubted: BTreeSet::new(),
+            rng: SmallRng::seed_from_u64(my_key ^ me.incarnation.0),
+            budget: Budget::new(cfg.budget, now),
+            rotation: Vec::new(),
+            gossiped_near: None,
+            gossiped_far: None,
+            hint_cursor: 0,
+            sequence: 0,
+            stale_sequence: 1,
+            stale_since: Some(now),
+            answers: 0,
+            asks_left: ASKS,
+            last_tick: now,
+            next_probe: now,
+            next_far: now,
+            next_lost: now,
+            wake: now,
+            sent_bytes: 0,
+            cfg,
+            me,
+        }
+    }
+
+    /// Returns who this instance is.
+    pub fn me(&self) -> &Identity {
+        &self.me
+    }
+
+    /// Returns the count of view changes.
+    pub fn epoch(&self) -> Epoch {
+        self.epoch
+    }
+
+    /// Returns the time at which [`Members::on_tick`] is due.
+    pub fn next_wake(&self) -> Time {
+        self.wake
+    }
+
+    /// Returns the encoded size of all messages that were sent, with their framing.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes
+    }
+
+    /// Returns whether the view may be trusted: the instance was not paused, or has heard a round
+    /// of answers since.
+    pub fn view_is_fresh(&self, now: Time) -> bool {
+        self.stale_since.is_none() && !self.was_paused(now)
+    }
+
+    /// Returns the members of a data centre that are live, sorted by name; without this instance.
+    ///
+    /// Of other data centres only a few members are known.
+    pub fn live_in(&self, data_centre: &DataCentre) -> impl Iterator<Item = &InstanceName> {
+        self.working()
+            .filter(move |(_, m)| m.data_centre == *data_centre)
+            .map(|(name, _)| name)
+    }
+
+    /// Returns the count of live peers, of which this instance is none.
+    pub fn live_peers(&self) -> usize {
+        self.members.values().filter(|m| m.is_in_view()).count()
+    }
+
+    /// Returns the address of a member, also of one that is leaving.
+    pub fn address(&self, name: &InstanceName) -> Option<PeerAddress> {
+        let member = self.members.get(name)?;
+        Some(address_of(name, member))
+    }
+
+    /// Returns the start count of a member that is in the view.
+    pub fn incarnation(&self, name: &InstanceName) -> Option<Incarnation> {
+        let member = self.members.get(name).filter(|m| m.is_in_view())?;
+        Some(member.incarnation)
+    }
+
+    /// Returns whether a member is suspected or unknown.
+    pub fn is_suspect(&self, name: &InstanceName) -> bool {
+        let member = self.members.get(name);
+        member.is_none_or(|m| m.standing != Standing::Live)
+    }
+
+    /// Returns the instance that holds the connections to an upstream of this data centre; `None`
+    /// when this instance is leaving and there is no other.
+    pub fn owner(&self, upstream: &UpstreamName) -> Option<InstanceName> {
+        let key = rendezvous::key(upstream.as_str());
+        let best = self
+            .own_group()
+            .max_by_key(|(m, _)| rendezvous::score(*m, key));
+        best.map(|(_, name)| name.clone())
+    }
+
+    /// Returns the `count` instances that own an upstream of this data centre, best first.
+    pub fn owners(&self, upstream: &UpstreamName, count: usize) -> Vec<InstanceName> {
+        let key = rendezvous::key(upstream.as_str());
+        rendezvous::best(self.own_group(), key, count)
+            .cloned()
+            .collect()
+    }
+
+    /// Live members that take new work.
+    fn working(&self) -> impl Iterator<Item = (&InstanceName, &Member)> {
+        self.members
+            .iter()
+            .filter(|(_, m)| m.is_in_view() && !m.leaving)
+    }
+
+    /// The instances of the own data centre that take new work, with this one.
+    fn own_group(&self) -> impl Iterator<Item = (u64, &InstanceName)> {
+        let me = (!self.leaving).then_some((self.my_key, &self.me.name));
+        let near = self.working().filter(|(_, m)| self.is_near(m));
+        near.map(|(name, m)| (m.key, name)).chain(me)
+    }
+
+    fn is_near(&self, member: &Member) -> bool {
+        member.data_centre == self.me.data_centre
+    }
+
+    fn was_paused(&self, now: Time) -> bool {
+        now.since(self.last_tick) > self.cfg.suspect_after + self.cfg.heartbeat
+    }
+
+    fn watchers(&self) -> impl Iterator<Item = &InstanceName> {
+        let key = rendezvous::key("watch");
+        rendezvous::best(self.own_group(), key, self.cfg.watchers)
+    }
+
+    /// Removes a member from the view.
+    fn remove(&mut self, now: Time, name: &InstanceName, effects: &mut Vec<Effect>) {
+        let Some(member) = self.members.get_mut(name) else {
+            return;
+        };
+        let was_in_view = member.is_in_view();
+        member.standing = Standing::Lost(now);
+        member.unanswered = None;
+        member.introduced = false;
+        if was_in_view {
+            self.epoch.0 += 1;
+            effects.push(note(name, "removed"));
+        }
+    }
+}
+
+impl Peers for Members {
+    fn news(&self) -> impl Iterator<Item = PeerNews<'_>> {
+        let watchers: Vec<_> = self.watchers().collect();
+        let heard = self.members.iter().filter(|(_, m)| m.is_in_view());
+        heard.map(move |(name, m)| PeerNews {
+            name,
+            address: m.address,
+            seen: m.seen,
+            watches: watchers.contains(&name),
+        })
+    }
+
+    fn watches(&self) -> bool {
+        self.watchers().any(|name| *name == self.me.name)
+    }
+}
+
+fn address_of(name: &InstanceName, member: &Member) -> PeerAddress {
+    PeerAddress {
+        name: Some(name.clone()),
+        address: member.address,
+    }
+}
+
+fn note(name: &InstanceName, state: &'static str) -> Effect {
+    let name = name.clone();
+    Effect::Note(Note::Peer { name, state })
+}
+
+/// Makes a member of which nothing was heard yet.
+fn candidate(
+    name: &InstanceName,
+    data_centre: DataCentre,
+    address: SocketAddr,
+    incarnation: Incarnation,
+) -> Member {
+    Member {
+        key: rendezvous::key(name.as_str()),
+        data_centre,
+        address,
+        incarnation,
+        standing: Standing::Candidate,
+        leaving: false,
+        seen: Version::default(),
+        heard: None,
+        verified: Time::ZERO,
+        unanswered: None,
+        confirmed: false,
+        introduced: false,
+    }
+}
--- a/crates/node/src/store/parse.rs
+++ b/crates/node/src/store/parse.rs
@@ -39,7 +39,7 @@
 
 /// Reads a catalogue document.
 pub(super) fn catalogue(value: &[u8]) -> Result<Catalogue, Box<str>> {
-    json(value)
+    Catalogue::from_json(value).map_err(problem)
 }
 
 /// Reads the liveness object of one service.
--- a/crates/node/src/store/sync.rs
+++ b/crates/node/src/store/sync.rs
@@ -131,7 +131,7 @@
     platform_answered: bool,
     peer_answered: bool,
     has_peers: bool,
-    polled: Time,
+    wake: Time,
 }
 
 impl Sync {
@@ -153,7 +153,7 @@
             platform_answered: false,
             peer_answered: false,
             has_peers: false,
-            polled: now,
+            wake: now,
         }
     }
 
@@ -166,21 +166,24 @@
         self.read_document(cx, store);
         self.pull_waiting(cx, peers, store);
         self.pull_ahead(cx, peers, store);
+        self.wake = self.due_after(cx.now);
     }
 
-    /// Returns the time at which [`Sync::poll`] is due next.
-    pub fn next_wake(&self) -> Option<Time> {
+    fn due_after(&self, now: Time) -> Time {
         let calls = [&self.watch, &self.read].into_iter().flatten();
         let pulls = [&self.waiting_pull, &self.pull].into_iter().flatten();
-        let due = [
-            self.platform_due,
-            self.read_due,
-            self.started + self.cfg.alone,
-        ];
-        let passed_over = self.passed_over.values().copied();
+        let alone = self.started + self.cfg.alone;
+        let due = [self.platform_due, self.read_due, alone].into_iter();
         let ends = calls.map(|c| c.until).chain(pulls.map(|p| p.until));
+        let passed_over = self.passed_over.values().copied();
         let waits = ends.chain(passed_over).chain(self.peers_pulls.next_wake());
-        waits.chain(due).filter(|&t| t > self.polled).min()
+        let later = waits.chain(due).filter(|&t| t > now);
+        later.min().unwrap_or(Time::NEVER)
+    }
+
+    /// Returns the time at which [`Sync::poll`] is due next.
+    pub fn next_wake(&self) -> Time {
+        self.wake
     }
 
     /// Returns whether the instance may serve: a catalogue is in force, and the platform or a peer
@@ -278,7 +281,6 @@
 
     /// Gives up calls and pulls that had no answer in time.
     fn give_up(&mut self, now: Time) {
-        self.polled = now;
         if self.watch.take_if(|c| now >= c.until).is_some() {
             self.back_off(now);
         }
--- /dev/null
+++ b/crates/node/tests/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the reducer.
+
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+mod members;
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -30,6 +30,13 @@
     },
 }
 
+impl Envelope {
+    /// Returns the size of the message on a link, in bytes.
+    pub fn frame_bytes(&self) -> usize {
+        LENGTH_BYTES + self.encoded_len()
+    }
+}
+
 /// Frames messages over a byte stream.
 #[derive(Debug)]
 pub struct Codec {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -47,12 +47,15 @@
 }
 
 /// Liveness and hints.
+///
+/// A probe asks for an answer, which is a heartbeat too. Sender's data centre and address are left
+/// out once the receiver knows them.
 #[derive(Clone, PartialEq, Message)]
 pub struct Heartbeat {
-    /// Data centre of the sender.
+    /// Data centre of the sender, or empty.
     #[prost(string, tag = "1")]
     pub data_centre: String,
-    /// Address on which the sender accepts peers.
+    /// Address on which the sender accepts peers, or empty.
     #[prost(string, tag = "2")]
     pub address: String,
     /// Count of the heartbeats that the sender has sent.
@@ -73,6 +76,15 @@
     /// Requests that broke upstreams.
     #[prost(message, repeated, tag = "8")]
     pub quarantine: Vec<Quarantined>,
+    /// Whether the sender asks for an answer.
+    #[prost(bool, tag = "9")]
+    pub probe: bool,
+    /// Sequence of the probe that this heartbeat answers, or zero.
+    #[prost(uint64, tag = "10")]
+    pub answers: u64,
+    /// Whether the sender has just started or woken up and asks for members.
+    #[prost(bool, tag = "11")]
+    pub joining: bool,
 }
 
 /// What the sender knows of another instance.
@@ -81,7 +93,7 @@
     /// Name of the instance.
     #[prost(string, tag = "1")]
     pub name: String,
-    /// Its data centre.
+    /// Its data centre, or empty when it is the sender's.
     #[prost(string, tag = "2")]
     pub data_centre: String,
     /// Address on which it accepts peers.
