--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -8,6 +8,7 @@
 
 mod budget;
 mod gossip;
+mod learn;
 mod member;
 mod probe;
 mod rendezvous;
@@ -34,6 +35,9 @@
 /// Peers that must answer after a start or a pause before the view is trusted.
 const ROUND: usize = 2;
 
+/// Probes after a start or a pause that ask for a sample of the members.
+const ASKS: u32 = 6;
+
 /// Settings of the membership.
 #[derive(Clone, Debug)]
 pub struct MembersConfig {
@@ -41,7 +45,8 @@
     pub heartbeat: Duration,
     /// Time after which an unanswered probe makes its member suspect.
     pub suspect_after: Duration,
-    /// Time after which a member that answers no probe is removed.
+    /// Time after which a member that answers no probe is removed; shorter when another member
+    /// suspects it too.
     pub remove_after: Duration,
     /// Interval between probes of each other data centre.
     pub far_heartbeat: Duration,
@@ -63,8 +68,8 @@
     fn default() -> Self {
         Self {
             heartbeat: Duration::from_millis(200),
-            suspect_after: Duration::from_millis(400),
-            remove_after: Duration::from_millis(1_200),
+            suspect_after: Duration::from_millis(300),
+            remove_after: Duration::from_millis(1_000),
             far_heartbeat: Duration::from_secs(1),
             lost_heartbeat: Duration::from_secs(2),
             lost_for: Duration::from_secs(600),
@@ -109,8 +114,9 @@
     budget: Budget,
     /// Members still to be probed in this round of the rotation.
     rotation: Vec<InstanceName>,
-    /// Name after which the gossip of ordinary members goes on.
-    gossip_after: Option<InstanceName>,
+    /// Members of this data centre and of others that were gossiped last.
+    gossiped_near: Option<InstanceName>,
+    gossiped_far: Option<InstanceName>,
     hint_cursor: usize,
     sequence: u64,
     /// Sequence of the first probe since the view became stale.
@@ -118,6 +124,8 @@
     /// Time since which the view is stale; `None` when it is fresh.
     stale_since: Option<Time>,
     answers: usize,
+    /// Probes that may still ask for a sample of the members.
+    asks_left: u32,
     last_tick: Time,
     next_probe: Time,
     next_far: Time,
@@ -140,12 +148,14 @@
             rng: SmallRng::seed_from_u64(my_key ^ me.incarnation.0),
             budget: Budget::new(cfg.budget, now),
             rotation: Vec::new(),
-            gossip_after: None,
+            gossiped_near: None,
+            gossiped_far: None,
             hint_cursor: 0,
             sequence: 0,
             stale_sequence: 1,
             stale_since: Some(now),
             answers: 0,
+            asks_left: ASKS,
             last_tick: now,
             next_probe: now,
             next_far: now,
@@ -321,7 +331,9 @@
         leaving: false,
         seen: Version::default(),
         heard: None,
+        verified: Time::ZERO,
         unanswered: None,
+        confirmed: false,
         introduced: false,
     }
 }
--- a/crates/node/src/members/budget.rs
+++ b/crates/node/src/members/budget.rs
@@ -4,8 +4,8 @@
 
 use base::{ByteSize, Time};
 
-/// Time of unused budget that may be spent at once.
-const BURST: Duration = Duration::from_secs(2);
+/// Time of unused budget that may be spent at once; it lets a starting instance meet its peers.
+const BURST: Duration = Duration::from_secs(8);
 
 /// Bytes that may be spent; it goes below zero for messages that cannot wait.
 #[derive(Debug)]
--- a/crates/node/src/members/gossip.rs
+++ b/crates/node/src/members/gossip.rs
@@ -1,19 +1,19 @@
-//! Heartbeats: what they carry and what is learned from them.
+//! What heartbeats carry.
 
-use base::{DataCentre, Incarnation, InstanceName, Time, Version};
+use base::{InstanceName, Time, Version};
 use wire::{Body, Envelope, Heartbeat, LeavingUpstream, Quarantined};
 
-use super::{Liveness, Member, Members, candidate, member::Standing, note};
-use crate::effect::{Effect, Note, PeerAddress};
+use rand::seq::IteratorRandom;
+
+use super::{Liveness, Member, Members, member::Standing};
+use crate::effect::{Effect, PeerAddress};
 
 /// Rumours in one heartbeat.
 const RUMOURS: usize = 3;
 /// Hints of each kind in one heartbeat.
 const HINTS: usize = 4;
-/// Members in the answer to an instance that asks for all.
-const ALL_MEMBERS: usize = 256;
-/// Members known of each other data centre.
-const CONTACTS: usize = 8;
+/// Members in the answer to an instance that joins.
+const SAMPLE: usize = 16;
 /// One in so many gossiped members is of another data centre.
 const FAR_SHARE: u64 = 4;
 
@@ -33,8 +33,8 @@
 pub(super) enum Purpose {
     /// Asks for an answer.
     Probe,
-    /// Answers a probe; `all` asks for every member.
-    Answer { sequence: u64, all: bool },
+    /// Answers a probe, perhaps of an instance that joins.
+    Answer { sequence: u64, joining: bool },
     /// Tells news and wants no answer.
     Notice,
 }
@@ -44,170 +44,40 @@
 pub(super) struct Rumour {
     name: InstanceName,
     left: u32,
+    /// Whether it is told beyond the byte budget.
+    urgent: bool,
 }
 
-impl Members {
-    /// Takes a sign of life other than a heartbeat.
-    pub fn on_message(
-        &mut self,
-        now: Time,
-        from: &InstanceName,
-        incarnation: Incarnation,
-        effects: &mut Vec<Effect>,
-    ) {
-        let known = self.members.get_mut(from);
-        let Some(member) = known.filter(|m| m.incarnation == incarnation && m.is_in_view()) else {
-            return;
-        };
-        if member.standing == Standing::Suspect {
-            effects.push(note(from, "live"));
-        }
-        member.standing = Standing::Live;
-        member.heard = Some(now);
-        member.unanswered = None;
-    }
-
-    /// Takes a heartbeat and answers it when it is a probe; other bodies count as signs of life.
-    pub fn on_heartbeat(
-        &mut self,
-        now: Time,
-        envelope: &Envelope,
-        hints: &Hints,
-        effects: &mut Vec<Effect>,
-    ) {
-        self.detect_pause(now);
-        self.budget.fill(now);
-        let Ok(from) = envelope.from.parse::<InstanceName>() else {
-            effects.push(bad_message("the sender's name is not valid"));
-            return;
-        };
-        let incarnation = Incarnation(envelope.incarnation);
-        let Some(Body::Heartbeat(heartbeat)) = &envelope.body else {
-            return self.on_message(now, &from, incarnation, effects);
-        };
-        if from == self.me.name || !self.hear(now, &from, incarnation, heartbeat, effects) {
-            return;
-        }
-        self.learn(now, heartbeat, &from);
-        if heartbeat.probe {
-            let sequence = heartbeat.sequence;
-            let all = heartbeat.all;
-            self.send_to(
-                now,
-                &from,
-                Purpose::Answer { sequence, all },
-                hints,
-                effects,
-            );
-        }
-        self.refresh(now);
-        self.wake = self.wake.min(now + self.cfg.heartbeat);
-        if !self.doubted.is_empty() || self.members.values().any(is_new) {
-            self.wake = now;
-        }
-    }
+/// Kinds of rumour.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum News {
+    /// A member joined, restarted or is leaving; it is also gossiped in turn.
+    Change,
+    /// A member does not answer.
+    Suspicion,
+}
 
-    /// Records the sender; returns false when it is unknown or the heartbeat is stale.
-    fn hear(
-        &mut self,
-        now: Time,
-        from: &InstanceName,
-        incarnation: Incarnation,
-        heartbeat: &Heartbeat,
-        effects: &mut Vec<Effect>,
-    ) -> bool {
-        let told = introduction(from, incarnation, heartbeat);
-        if let (false, Some(new)) = (self.members.contains_key(from), &told) {
-            self.members.insert(from.clone(), new.clone());
-        }
-        let known = self.members.get_mut(from);
-        let Some(member) = known.filter(|m| m.incarnation <= incarnation) else {
-            return false;
-        };
-        let before = member.clone();
-        if member.incarnation < incarnation {
-            member.restart(incarnation);
-        }
-        if let Some(told) = told {
-            member.address = told.address;
-            member.data_centre = told.data_centre;
-        }
-        member.hear(now, heartbeat);
-        let state = changed_state(&before, member);
-        self.answers += usize::from(heartbeat.answers >= self.stale_sequence);
-        if let Some(state) = state {
-            effects.push(note(from, state));
-        }
-        if state.is_some_and(|state| state != "live") {
-            self.epoch.0 += 1;
-            self.spread(from);
-        }
-        true
-    }
-
-    /// Takes gossip: it makes the receiver probe and changes nothing else.
-    fn learn(&mut self, now: Time, heartbeat: &Heartbeat, from: &InstanceName) {
-        let Some(sender) = self.members.get(from) else {
-            return;
-        };
-        let near = sender.data_centre.clone();
-        for told in &heartbeat.members {
-            let Some((name, member)) = read_member(told, &near) else {
-                continue;
-            };
-            if name != self.me.name {
-                let liveness = Liveness::from_number(told.liveness);
-                self.learn_member(now, name, member, liveness);
-            }
+impl News {
+    /// Times that the news is told, for each doubling of the members.
+    fn rounds(self) -> u32 {
+        match self {
+            Self::Change => 1,
+            Self::Suspicion => 3,
         }
     }
+}
 
-    fn learn_member(&mut self, now: Time, name: InstanceName, told: Member, liveness: Liveness) {
-        let Some(known) = self.members.get_mut(&name) else {
-            if self.wants(&told) && liveness == Liveness::Live {
-                self.members.insert(name, told);
-            }
-            return;
-        };
-        if told.incarnation < known.incarnation {
+impl Members {
+    /// Tells a change of a member of the own data centre a few times; the newest goes first.
+    pub(super) fn spread(&mut self, name: &InstanceName, news: News) {
+        if !self.members.get(name).is_some_and(|m| self.is_near(m)) {
             return;
         }
-        let is_newer = told.incarnation > known.incarnation;
-        match (known.standing, liveness) {
-            (Standing::Lost(_), Liveness::Live) if is_newer => *known = told,
-            (Standing::Lost(at), Liveness::Live) if now.since(at) > self.cfg.lost_heartbeat => {
-                known.standing = Standing::Candidate
-            }
-            (Standing::Live, Liveness::Live) if is_newer => {
-                // The old incarnation is gone; its successor is probed at the new address.
-                known.address = told.address;
-                self.doubted.insert(name);
-            }
-            (Standing::Live, Liveness::Suspect)
-                if known.unanswered.is_none() && known.is_silent(now, self.cfg.suspect_after) =>
-            {
-                self.doubted.insert(name);
-            }
-            _ => {}
-        }
-    }
-
-    /// Returns whether an unknown member is worth keeping.
-    fn wants(&self, told: &Member) -> bool {
-        let same = |m: &&Member| {
-            m.data_centre == told.data_centre && !matches!(m.standing, Standing::Lost(_))
-        };
-        self.is_near(told) || self.members.values().filter(same).count() < CONTACTS
-    }
-
-    /// Tells a change of a member a few times, enough to reach the whole data centre.
-    pub(super) fn spread(&mut self, name: &InstanceName) {
-        let left = 2 * (usize::BITS - self.members.len().leading_zeros()).max(1);
-        self.rumours.retain(|r| r.name != *name);
-        self.rumours.push(Rumour {
-            name: name.clone(),
-            left,
-        });
+        let left = news.rounds() * (usize::BITS - self.members.len().leading_zeros());
+        let urgent = news == News::Suspicion;
+        let name = name.clone();
+        self.rumours.retain(|r| r.name != name);
+        self.rumours.insert(0, Rumour { name, left, urgent });
     }
 
     /// Sends a heartbeat to a member.
@@ -274,15 +144,15 @@
             heartbeat.address = self.me.address.to_string();
         }
         match purpose {
-            Purpose::Probe => heartbeat.all = self.stale_since.is_some(),
+            Purpose::Probe => heartbeat.joining = self.ask_for_sample(),
             Purpose::Answer { sequence, .. } => heartbeat.answers = sequence,
             Purpose::Notice => {}
         }
-        if matches!(purpose, Purpose::Answer { all: true, .. }) {
-            heartbeat.members = self.all_members(to);
-        } else if self.budget.allows() || purpose == Purpose::Notice {
-            heartbeat.members = self.some_members(to);
-        }
+        heartbeat.members = match purpose {
+            Purpose::Answer { joining: true, .. } => self.sample(to),
+            Purpose::Probe => self.some_members(to),
+            _ => self.some_rumours(to),
+        };
         if self.budget.allows() {
             self.add_hints(&mut heartbeat, hints);
         }
@@ -296,60 +166,80 @@
         heartbeat.quarantine = in_turn(&hints.quarantine, from);
     }
 
-    fn all_members(&self, to: Option<&InstanceName>) -> Vec<wire::Member> {
-        let others = self
+    /// Returns whether a probe asks for a sample of the members: the first few of a stale view do.
+    fn ask_for_sample(&mut self) -> bool {
+        let asks = self.stale_since.is_some() && self.asks_left > 0;
+        self.asks_left -= u32::from(asks);
+        asks
+    }
+
+    /// Returns members chosen at random, for an instance that joins.
+    fn sample(&mut self, to: Option<&InstanceName>) -> Vec<wire::Member> {
+        let live = self
             .members
             .iter()
             .filter(|(name, m)| m.is_in_view() && Some(*name) != to);
-        let entries = others
-            .take(ALL_MEMBERS)
-            .map(|(name, m)| self.entry(name, m));
-        entries.collect()
+        let chosen = live.choose_multiple(&mut self.rng, SAMPLE);
+        chosen
+            .into_iter()
+            .map(|(name, m)| self.entry(name, m))
+            .collect()
     }
 
-    /// Returns the rumours that are still told, and the next member in turn.
+    /// Returns rumours that are still told and, as far as the budget allows, a member in turn.
     fn some_members(&mut self, to: Option<&InstanceName>) -> Vec<wire::Member> {
-        let mut entries = Vec::new();
-        for i in 0..self.rumours.len().min(RUMOURS) {
-            let rumour = &mut self.rumours[i];
+        let mut entries = self.some_rumours(to);
+        if self.budget.allows() {
+            let next = self.next_gossiped().filter(|name| Some(name) != to);
+            let member = next.and_then(|name| self.members.get_key_value(&name));
+            entries.extend(member.map(|(name, m)| self.entry(name, m)));
+        }
+        entries
+    }
+
+    fn some_rumours(&mut self, to: Option<&InstanceName>) -> Vec<wire::Member> {
+        let mut told = Vec::new();
+        let within = self.budget.allows();
+        let due = self.rumours.iter_mut().filter(|r| within || r.urgent);
+        for rumour in due.take(RUMOURS) {
             rumour.left -= 1;
-            let member = self.members.get(&rumour.name).filter(|m| m.is_in_view());
-            let name = rumour.name.clone();
-            if let Some(member) = member.filter(|_| Some(&name) != to) {
-                entries.push(self.entry(&name, member));
-            }
+            told.push(rumour.name.clone());
         }
         self.rumours.retain(|r| r.left > 0);
         // Rumours take turns when there are more than one heartbeat carries.
         let turn = RUMOURS.min(self.rumours.len());
         self.rumours.rotate_left(turn);
-        if let Some(name) = self.next_gossiped().filter(|name| Some(name) != to) {
-            entries.extend(self.members.get(&name).map(|m| self.entry(&name, m)));
-        }
-        entries
+        let others = told.iter().filter(|name| Some(*name) != to);
+        let members = others.filter_map(|name| self.members.get_key_value(name));
+        let known = members.filter(|(_, m)| m.standing != Standing::Candidate);
+        known.map(|(name, m)| self.entry(name, m)).collect()
     }
 
     /// Returns the member that is gossiped next, in turn; now and then one of another data centre.
     fn next_gossiped(&mut self) -> Option<InstanceName> {
-        let far = self.sequence.is_multiple_of(FAR_SHARE);
-        let after = self.gossip_after.take();
+        let is_far = self.sequence.is_multiple_of(FAR_SHARE);
+        let after = match is_far {
+            true => &self.gossiped_far,
+            false => &self.gossiped_near,
+        };
         let fits = |(_, m): &(&InstanceName, &Member)| {
-            m.is_in_view() && !m.leaving && self.is_near(m) != far
+            m.is_in_view() && !m.leaving && self.is_near(m) != is_far
         };
-        let in_turn =
-            |(name, _): &(&InstanceName, &Member)| after.as_ref().is_none_or(|after| *name > after);
-        let next = self.members.iter().filter(fits).find(in_turn);
-        let name = next
-            .or_else(|| self.members.iter().find(fits))
-            .map(|(name, _)| name.clone());
-        self.gossip_after = name.clone().or(after);
+        let follows = |(name, _): &(&InstanceName, &Member)| Some(*name) > after.as_ref();
+        let next = self.members.iter().filter(fits).find(follows);
+        let next = next.or_else(|| self.members.iter().find(fits));
+        let name = next.map(|(name, _)| name.clone());
+        match is_far {
+            true => self.gossiped_far.clone_from(&name),
+            false => self.gossiped_near.clone_from(&name),
+        }
         name
     }
 
     fn entry(&self, name: &InstanceName, member: &Member) -> wire::Member {
         let liveness = match member.standing {
-            Standing::Suspect => Liveness::Suspect,
-            _ => Liveness::Live,
+            Standing::Suspect | Standing::Lost(_) => Liveness::Suspect,
+            Standing::Live | Standing::Candidate => Liveness::Live,
         };
         let data_centre = match self.is_near(member) {
             true => String::new(),
@@ -365,52 +255,9 @@
     }
 }
 
-/// Names what a heartbeat changed of its sender, if anything.
-fn changed_state(before: &Member, after: &Member) -> Option<&'static str> {
-    let is_other = before.incarnation != after.incarnation || before.address != after.address;
-    match before.standing {
-        _ if after.leaving && !before.leaving => Some("leaving"),
-        _ if !before.is_in_view() => Some("found"),
-        _ if is_other => Some("restarted"),
-        Standing::Suspect => Some("live"),
-        _ => None,
-    }
-}
-
-fn is_new(member: &Member) -> bool {
-    member.standing == Standing::Candidate && member.unanswered.is_none()
-}
-
-/// Reads who the sender of a heartbeat is, when the heartbeat says so.
-fn introduction(
-    from: &InstanceName,
-    incarnation: Incarnation,
-    heartbeat: &Heartbeat,
-) -> Option<Member> {
-    let data_centre = heartbeat.data_centre.parse().ok()?;
-    let address = heartbeat.address.parse().ok()?;
-    Some(candidate(from, data_centre, address, incarnation))
-}
-
-/// Reads a gossiped member; `near` is the sender's data centre.
-fn read_member(told: &wire::Member, near: &DataCentre) -> Option<(InstanceName, Member)> {
-    let name: InstanceName = told.name.parse().ok()?;
-    let data_centre = match told.data_centre.as_str() {
-        "" => near.clone(),
-        text => text.parse().ok()?,
-    };
-    let address = told.address.parse().ok()?;
-    let member = candidate(&name, data_centre, address, Incarnation(told.incarnation));
-    Some((name, member))
-}
-
 /// Returns up to [`HINTS`] items, starting at a position that moves on with each heartbeat.
 fn in_turn<T: Clone>(items: &[T], from: usize) -> Vec<T> {
     let start = from % items.len().max(1);
     let turn = items.iter().cycle().skip(start);
     turn.take(HINTS.min(items.len())).cloned().collect()
 }
-
-fn bad_message(problem: &str) -> Effect {
-    Effect::Note(Note::BadMessage(problem.into()))
-}
--- a/crates/node/src/members/member.rs
+++ b/crates/node/src/members/member.rs
@@ -5,6 +5,9 @@
 use base::{DataCentre, Incarnation, Time, Version};
 use wire::Heartbeat;
 
+/// Share of the time until removal that applies once another member agrees, in percent.
+const CONFIRMED_PERCENT: u32 = 60;
+
 /// Liveness of a member as gossip carries it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[repr(u32)]
@@ -57,7 +60,11 @@
     pub(super) leaving: bool,
     pub(super) seen: Version,
     pub(super) heard: Option<Time>,
+    /// Time of the last probe that a rumour caused.
+    pub(super) verified: Time,
     pub(super) unanswered: Option<Unanswered>,
+    /// Whether another member suspects it too, by probes of its own.
+    pub(super) confirmed: bool,
     /// Whether the member answered since it was told this instance's address.
     pub(super) introduced: bool,
 }
@@ -85,11 +92,20 @@
         self.standing = Standing::Live;
         self.heard = Some(now);
         self.unanswered = None;
+        self.confirmed = false;
         self.leaving |= heartbeat.leaving;
         self.seen = self.seen.max(Version(heartbeat.seen));
         self.introduced |= heartbeat.answers > 0;
     }
 
+    /// Returns how long it may leave probes unanswered before it is removed.
+    pub(super) fn patience(&self, remove_after: Duration) -> Duration {
+        match self.confirmed {
+            true => remove_after * CONFIRMED_PERCENT / 100,
+            false => remove_after,
+        }
+    }
+
     /// Records a probe.
     pub(super) fn probed(&mut self, now: Time) {
         let first = self.unanswered.map_or(now, |u| u.first);
--- a/crates/node/src/members/probe.rs
+++ b/crates/node/src/members/probe.rs
@@ -1,22 +1,26 @@
 //! Probes, suspicion and removal.
 
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 use base::{DataCentre, InstanceName, Time};
 use rand::seq::{IndexedRandom, SliceRandom};
 
 use super::{
-    Hints, Members, ROUND, address_of,
-    gossip::Purpose,
+    ASKS, Hints, Members, ROUND, address_of,
+    gossip::{News, Purpose},
     member::{Member, Standing},
     note, rendezvous,
 };
 use crate::effect::{Effect, PeerAddress};
 
 /// Members that are told of a suspicion at once.
-const SUSPICION_FANOUT: usize = 4;
+const SUSPICION_FANOUT: usize = 6;
 /// Seeds and removed members that an instance without live peers probes at once.
 const LOST_WHEN_ALONE: usize = 8;
+/// Other data centres that are probed at once.
+const FAR_PROBES: usize = 4;
+/// Silence after which a member of another data centre is no longer taken as live.
+const FAR_SILENCE: Duration = Duration::from_secs(60);
 /// Candidates that are probed in one tick.
 const CANDIDATES_PER_TICK: usize = 16;
 
@@ -54,6 +58,7 @@
         self.stale_since = Some(now);
         self.stale_sequence = self.sequence + 1;
         self.answers = 0;
+        self.asks_left = ASKS;
         self.next_probe = now;
         for member in self.members.values_mut() {
             member.unanswered = None;
@@ -66,13 +71,14 @@
             return;
         };
         let waited = now >= since + self.cfg.remove_after;
+        let asked = now >= since + self.cfg.suspect_after;
         let near = self.members.values().filter(|m| self.is_near(m));
         let (mut live, mut pending) = (0, 0);
         for member in near {
             live += usize::from(member.is_in_view());
             pending += usize::from(member.standing == Standing::Candidate);
         }
-        let all_known = waited || (pending == 0 && live > 0);
+        let all_known = waited || (asked && pending == 0 && live > 0);
         if all_known && self.answers >= live.min(ROUND) {
             self.stale_since = None;
         }
@@ -87,56 +93,69 @@
 
     /// Suspects, probes again and removes members that leave probes unanswered.
     fn judge(&mut self, now: Time, hints: &Hints, effects: &mut Vec<Effect>) {
-        let (suspect_after, remove_after) = (self.cfg.suspect_after, self.cfg.remove_after);
         let lost_for = self.cfg.lost_for;
         self.members.retain(|_, m| match m.standing {
             Standing::Lost(at) => now.since(at) < lost_for,
             _ => true,
         });
-        let late = self.members.iter().filter_map(|(name, m)| {
-            let unanswered = m.unanswered?;
-            let is_late = now.since(unanswered.last) >= suspect_after;
-            (is_late && !matches!(m.standing, Standing::Lost(_)))
-                .then(|| (name.clone(), unanswered))
-        });
-        for (name, unanswered) in late.collect::<Vec<_>>() {
-            if now.since(unanswered.first) >= remove_after {
+        self.forget_far(now);
+        let late = self
+            .members
+            .iter()
+            .filter(|(_, m)| now >= self.judged_at(m));
+        for name in late.map(|(name, _)| name.clone()).collect::<Vec<_>>() {
+            if self
+                .members
+                .get(&name)
+                .is_some_and(|m| now >= self.removed_at(m))
+            {
                 self.remove(now, &name, effects);
             } else {
-                self.suspect(now, &name, hints, effects);
+                self.suspect(&name, effects);
+                self.tell_suspicion(now, &name, hints, effects);
                 self.send_to(now, &name, Purpose::Probe, hints, effects);
             }
         }
     }
 
-    fn suspect(
+    /// Members of other data centres that this instance no longer probes become candidates.
+    fn forget_far(&mut self, now: Time) {
+        for member in self.members.values_mut() {
+            let is_far = member.data_centre != self.me.data_centre;
+            if is_far && member.is_in_view() && member.is_silent(now, FAR_SILENCE) {
+                member.standing = Standing::Candidate;
+            }
+        }
+    }
+
+    fn suspect(&mut self, name: &InstanceName, effects: &mut Vec<Effect>) {
+        let Some(member) = self.members.get_mut(name) else {
+            return;
+        };
+        member.introduced = false;
+        if member.standing == Standing::Live {
+            member.standing = Standing::Suspect;
+            effects.push(note(name, "suspected"));
+            self.spread(name, News::Suspicion);
+        }
+    }
+
+    /// Tells a few members of the own data centre at once, so that they probe the suspect too.
+    fn tell_suspicion(
         &mut self,
         now: Time,
         name: &InstanceName,
         hints: &Hints,
         effects: &mut Vec<Effect>,
     ) {
-        let Some(member) = self.members.get_mut(name) else {
-            return;
-        };
-        member.introduced = false;
-        if member.standing != Standing::Live {
-            return;
-        }
-        member.standing = Standing::Suspect;
-        let is_near = member.data_centre == self.me.data_centre;
-        effects.push(note(name, "suspected"));
-        if !is_near {
+        let suspect = self.members.get(name);
+        if !suspect.is_some_and(|m| self.is_near(m) && m.standing == Standing::Suspect) {
             return;
         }
-        self.spread(name);
         let own = self.me.data_centre.clone();
         let others = self.in_view(|m| m.standing == Standing::Live && m.data_centre == own);
-        let told: Vec<_> = others
-            .choose_multiple(&mut self.rng, SUSPICION_FANOUT)
-            .cloned()
-            .collect();
-        for other in told {
+        let told = others.choose_multiple(&mut self.rng, SUSPICION_FANOUT);
+        for other in told.cloned().collect::<Vec<_>>() {
             self.send_to(now, &other, Purpose::Notice, hints, effects);
         }
     }
@@ -144,6 +163,10 @@
     /// Probes members of which gossip told a change.
     fn probe_doubted(&mut self, now: Time, hints: &Hints, effects: &mut Vec<Effect>) {
         for name in std::mem::take(&mut self.doubted) {
+            let is_in_view = self.members.get(&name).is_some_and(Member::is_in_view);
+            if !is_in_view {
+                continue;
+            }
             self.send_to(now, &name, Purpose::Probe, hints, effects);
         }
     }
@@ -195,7 +218,9 @@
             return;
         }
         self.next_far = now + self.cfg.far_heartbeat;
-        for data_centre in self.bridged() {
+        let bridged = self.bridged();
+        let due = bridged.choose_multiple(&mut self.rng, FAR_PROBES).cloned();
+        for data_centre in due.collect::<Vec<_>>() {
             let contacts = self.members.iter().filter(|(_, m)| {
                 let is_known = !matches!(m.standing, Standing::Lost(_));
                 is_known && m.data_centre == data_centre && m.unanswered.is_none()
@@ -265,10 +290,21 @@
             .collect()
     }
 
+    /// Returns the time at which unanswered probes make a member suspect or removed.
+    fn judged_at(&self, member: &Member) -> Time {
+        let last = member.unanswered.map(|u| u.last + self.cfg.suspect_after);
+        last.map_or(Time::NEVER, |t| t.min(self.removed_at(member)))
+    }
+
+    fn removed_at(&self, member: &Member) -> Time {
+        let patience = member.patience(self.cfg.remove_after);
+        let first = member.unanswered.map(|u| u.first + patience);
+        first.unwrap_or(Time::NEVER)
+    }
+
     fn next_due(&self) -> Time {
-        let unanswered = self.members.values().filter_map(|m| m.unanswered);
-        let late = unanswered.map(|u| u.last + self.cfg.suspect_after).min();
+        let judged = self.members.values().map(|m| self.judged_at(m));
         let due = [self.next_probe, self.next_far, self.next_lost];
-        due.into_iter().chain(late).min().unwrap_or(Time::NEVER)
+        due.into_iter().chain(judged).min().unwrap_or(Time::NEVER)
     }
 }
--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -1,3 +1,7 @@
 //! Tests of the reducer.
 
+#![expect(clippy::unwrap_used, reason = "a test may panic")]
+
+mod members;
 mod search;
+mod store;
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -72,6 +72,9 @@
 }
 
 /// Liveness and hints.
+///
+/// A probe asks for an answer, which is a heartbeat too. Sender's data centre and address are left
+/// out once the receiver knows them.
 #[derive(Clone, PartialEq, Message)]
 pub struct Heartbeat {
     /// Data centre of the sender, or empty.
@@ -104,9 +107,9 @@
     /// Sequence of the probe that this heartbeat answers, or zero.
     #[prost(uint64, tag = "10")]
     pub answers: u64,
-    /// Whether the sender asks for every member that the receiver knows.
+    /// Whether the sender has just started or woken up and asks for members.
     #[prost(bool, tag = "11")]
-    pub all: bool,
+    pub joining: bool,
 }
 
 /// What the sender knows of another instance.
