--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -7,6 +7,7 @@
 mod heads;
 mod page;
 mod parse;
+mod ports;
 pub mod sync;
 mod waiting;
 
@@ -19,7 +20,8 @@
 use heads::{Candidate, Heads};
 pub use page::Page;
 pub use parse::ServiceLiveness;
-pub use sync::{Cx, PeerNews, Peers, Sync, SyncConfig};
+pub use ports::{Cx, PeerNews, Peers};
+pub use sync::{Sync, SyncConfig};
 
 use crate::{
     effect::{Effect, Note},
--- a/crates/node/src/store/waiting.rs
+++ b/crates/node/src/store/waiting.rs
@@ -3,7 +3,7 @@
 use base::Time;
 use wire::{Body, Objects, Pull};
 
-use super::{Store, sync::Cx};
+use super::{Cx, Store};
 use crate::effect::{Effect, PeerAddress};
 
 /// Pulls that wait at once; another is answered without a wait.
--- a/crates/node/tests/members.rs
+++ b/crates/node/tests/members.rs
@@ -307,6 +307,35 @@
     assert!(sim.converged());
 }
 
+#[test]
+fn a_stale_incarnation_is_ignored() {
+    let mut sim = one_data_centre(3);
+    let known = sim.peers[1].members.me().incarnation;
+    let elsewhere = address(150);
+    for (incarnation, replaces) in [(known.0 - 1, false), (known.0 + 1, true)] {
+        let heartbeat = wire::Heartbeat {
+            data_centre: data_centre(0).to_string(),
+            address: elsewhere.to_string(),
+            leaving: true,
+            ..wire::Heartbeat::default()
+        };
+        let body = Some(wire::Body::Heartbeat(heartbeat));
+        let envelope = Envelope {
+            from: name(1).to_string(),
+            incarnation,
+            body,
+        };
+        let members = &mut sim.peers[0].members;
+        members.on_heartbeat(sim.now, &envelope, &sim.hints, &mut Vec::new());
+        let address = members.address(&name(1)).unwrap().address;
+        assert_eq!(address == elsewhere, replaces);
+        assert_eq!(
+            members.live_in(&data_centre(0)).any(|n| *n == name(1)),
+            !replaces
+        );
+    }
+}
+
 #[test]
 fn a_lone_instance_trusts_its_view_after_a_while() {
     let mut sim = Sim::new(&[0], 1);
