up: Find an unnoticed close before a request is sent

A connection that was idle is read once, without waiting, before its next request: a close that the runtime has not seen yet is then known before a byte is handed to the socket, so a run is reported as not sent and a search goes to another connection. Without that read the new test sees Broken instead.

A socket that was read empty is not read again until it is ready, which saves the reads that would block.

--- a/crates/up/src/conn.rs
+++ b/crates/up/src/conn.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     exchange::{self, Next},
-    io::Io,
+    io::{Drained, Io},
     job::Job,
     pool::{Connecting, Handed, Parked, Permit, Pool},
 };
@@ -50,11 +50,14 @@
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     socket.set_nodelay(true)?;
-    let stream = Io::new(socket.to_poll_fd()?, pool.shared.read_buf.clone());
+    let drained = Drained::default();
+    let read_buf = pool.shared.read_buf.clone();
+    let stream = Io::new(socket.to_poll_fd()?, read_buf, drained.clone());
     let (sender, driver) = http1::handshake(stream).await.map_err(io::Error::other)?;
     let link = Link {
         sender,
         driver: Some(driver),
+        drained,
     };
     Ok((link, socket))
 }
@@ -77,17 +80,12 @@
         return Some(job);
     }
     let parked = pool.park()?;
-    let mut handed = poll_fn(|cx| link.poll_idle(cx, &parked)).await;
-    if let Handed::Job(job) = &handed
-        && link.is_closed()
-    {
-        if let Some(work) = job.work.take() {
-            pool.take_back(Rc::clone(job), work);
+    match poll_fn(|cx| link.poll_idle(cx, &parked)).await {
+        Handed::Job(job) => {
+            // The upstream may have closed the connection while it was idle.
+            link.drained.clear();
+            Some(job)
         }
-        handed = Handed::Close;
-    }
-    match handed {
-        Handed::Job(job) => Some(job),
         Handed::Nothing | Handed::Close => None,
     }
 }
@@ -102,6 +100,7 @@
     /// Takes requests.
     pub(crate) sender: SendRequest<Full<Bytes>>,
     driver: Option<Connection<S, Full<Bytes>>>,
+    drained: Drained,
 }
 
 impl<S: Stream> Link<S> {
@@ -149,12 +148,15 @@
 
     /// Drives the idle connection until it is handed something or closes.
     fn poll_idle(&mut self, cx: &mut Context<'_>, parked: &Parked) -> Poll<Handed> {
-        self.poll_driver(cx);
         match parked.take(cx.waker()) {
-            Handed::Nothing if self.is_closed() => Poll::Ready(Handed::Close),
-            Handed::Nothing => Poll::Pending,
-            handed => Poll::Ready(handed),
+            Handed::Nothing => {}
+            handed => return Poll::Ready(handed),
+        }
+        self.poll_driver(cx);
+        if self.is_closed() {
+            return Poll::Ready(Handed::Close);
         }
+        Poll::Pending
     }
 
     fn poll_driver(&mut self, cx: &mut Context<'_>) {
--- a/crates/up/src/io.rs
+++ b/crates/up/src/io.rs
@@ -1,7 +1,7 @@
 //! A socket as hyper reads and writes it.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     io::{self, Read, Write},
     os::fd::AsFd,
     pin::Pin,
@@ -29,21 +29,31 @@
 /// A socket that is read and written at once, and waited for only when that would block.
 ///
 /// Compared with the completion style of I/O this saves an operation with its buffer for each
-/// write, and a copy for each read.
+/// write, and a copy for each read. Requests are small, so head and body go out in one buffer.
 pub(crate) struct Io<T: AsFd> {
     socket: PollFd<T>,
     buf: ReadBuf,
-    /// Whether the last read emptied the socket, so that the next one would block.
-    drained: bool,
+    drained: Drained,
+}
+
+/// Whether the last read emptied the socket, so that the next one is put off until it is ready.
+#[derive(Clone, Default)]
+pub(crate) struct Drained(Rc<Cell<bool>>);
+
+impl Drained {
+    /// Has the next read try the socket at once, which finds a close that was not noticed yet.
+    pub(crate) fn clear(&self) {
+        self.0.set(false);
+    }
 }
 
 impl<T: AsFd> Io<T> {
     /// Wraps a socket that does not block.
-    pub(crate) fn new(socket: PollFd<T>, buf: ReadBuf) -> Self {
+    pub(crate) fn new(socket: PollFd<T>, buf: ReadBuf, drained: Drained) -> Self {
         Self {
             socket,
             buf,
-            drained: false,
+            drained,
         }
     }
 }
@@ -59,16 +69,21 @@
         mut cursor: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
         let this = self.get_mut();
-        if this.drained {
+        if this.drained.0.get() {
             ready!(this.socket.poll_read_ready(cx))?;
-            this.drained = false;
+            this.drained.clear();
         }
         let mut buf = this.buf.0.borrow_mut();
         let room = cursor.remaining().min(buf.len());
         let buf = &mut buf[..room];
-        let read = ready!(this.socket.poll_read(cx, buf))?;
         // A short read has emptied the socket, unless it is the end of the stream.
-        this.drained = read > 0 && read < room;
+        let read = this.socket.poll_read(cx, buf);
+        this.drained.0.set(match &read {
+            Poll::Pending => true,
+            Poll::Ready(Ok(read)) => *read > 0 && *read < room,
+            Poll::Ready(Err(_)) => false,
+        });
+        let read = ready!(read)?;
         cursor.put_slice(&buf[..read]);
         Poll::Ready(Ok(()))
     }
@@ -87,18 +102,6 @@
         self.socket.poll_write(cx, buf)
     }
 
-    fn poll_write_vectored(
-        self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.socket.poll_write_vectored(cx, bufs)
-    }
-
-    fn is_write_vectored(&self) -> bool {
-        true
-    }
-
     fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Nothing is held back.
         Poll::Ready(Ok(()))
--- a/crates/up/tests/exact.rs
+++ b/crates/up/tests/exact.rs
@@ -120,6 +120,33 @@
     }
 }
 
+#[test]
+fn unnoticed_close_is_found_before_a_byte_is_sent() {
+    block_on(async {
+        for _ in 0..20 {
+            let fake = Fake::start_closing(Duration::from_millis(10));
+            let mut up = Harness::new(Settings::default());
+            for run_next in [true, false] {
+                up.search(fake.address, 1, 1000);
+                assert!(matches!(up.report().await.1, UpstreamEvent::Replied(_)));
+                // The runtime stands still while the upstream closes the connection.
+                while fake.open() > 0 {
+                    thread::sleep(Duration::from_millis(1));
+                }
+                if run_next {
+                    up.run(fake.address, 1, 1000);
+                    assert_eq!(up.failure().await, Failure::Connect);
+                    until(|| up.pools.connections() == 0).await;
+                }
+            }
+            // A search goes to another connection.
+            up.search(fake.address, 1, 1000);
+            assert!(matches!(up.report().await.1, UpstreamEvent::Replied(_)));
+            assert_eq!((fake.requests(), up.pools.stats().resent), (3, 1));
+        }
+    });
+}
+
 #[test]
 fn connection_that_breaks_under_a_request_is_broken() {
     let closed = Arc::new(AtomicBool::new(false));
