--- a/crates/front/src/call.rs
+++ b/crates/front/src/call.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use base::{EntryName, IdempotencyKey, RequestId};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, HeaderName, Method, header, request::Parts};
-use http_body_util::BodyExt;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
 use node::Call;
 use snafu::ResultExt;
@@ -142,30 +142,11 @@
     if body.is_end_stream() && !head.headers.contains_key(header::TRANSFER_ENCODING) {
         return Ok(Bytes::new());
     }
-    match compio::time::timeout(time, collect(body, limit)).await {
-        Ok(result) => result,
+    let collect = Limited::new(body, limit).collect();
+    match compio::time::timeout(time, collect).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(BadRequest::BodySize { limit }),
+        Ok(Err(_)) => Err(BadRequest::BodyBroken),
         Err(_) => Err(BadRequest::BodyTimeout),
     }
 }
-
-async fn collect(mut body: Incoming, limit: usize) -> Result<Bytes, BadRequest> {
-    let mut first = Bytes::new();
-    let mut all = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| BadRequest::BodyBroken)?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if first.len() + all.len() + data.len() > limit {
-            return Err(BadRequest::BodySize { limit });
-        }
-        if first.is_empty() && all.is_empty() {
-            // A body in one piece is not copied.
-            first = data;
-        } else {
-            all.extend_from_slice(&std::mem::take(&mut first));
-            all.extend_from_slice(&data);
-        }
-    }
-    Ok(if all.is_empty() { first } else { all.freeze() })
-}
--- a/crates/up/tests/exact.rs
+++ b/crates/up/tests/exact.rs
@@ -2,10 +2,7 @@
 
 use std::{
     net::TcpListener,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::atomic::{AtomicUsize, Ordering},
     thread,
     time::Duration,
 };
@@ -75,17 +72,6 @@
     });
 }
 
-/// An upstream that closes its first connection under the request that comes once `closed` is set.
-fn closing_upstream(closed: &Arc<AtomicBool>) -> Fake {
-    let closed = Arc::clone(closed);
-    Fake::start(move |request| {
-        if closed.load(Ordering::SeqCst) && request.connection == 0 {
-            return None;
-        }
-        Some(request.valid_reply())
-    })
-}
-
 #[test]
 fn requests_on_closed_idle_connections_run_at_most_once() {
     // The upstream closes idle connections at every moment around the next request.
@@ -149,13 +135,15 @@
 
 #[test]
 fn connection_that_breaks_under_a_request_is_broken() {
-    let closed = Arc::new(AtomicBool::new(false));
-    let fake = closing_upstream(&closed);
+    let requests = AtomicUsize::new(0);
+    let fake = Fake::start(move |request| {
+        let second = requests.fetch_add(1, Ordering::SeqCst) == 1;
+        (!second).then(|| request.valid_reply())
+    });
     block_on(async {
         let mut up = Harness::new(Settings::default());
         up.run(fake.address, 1, 1000);
         assert!(matches!(up.report().await.1, UpstreamEvent::Ran { .. }));
-        closed.store(true, Ordering::SeqCst);
         up.run(fake.address, 1, 1000);
         assert_eq!(up.failure().await, Failure::Broken);
         up.search(fake.address, 1, 1000);
