--- a/crates/up/tests/exact.rs
+++ b/crates/up/tests/exact.rs
@@ -46,7 +46,7 @@
 }
 
 #[test]
-fn timeout_after_the_request_is_broken_and_closes() {
+fn timeout_after_the_request_closes_the_connection() {
     let fake = Fake::start(|request| {
         thread::sleep(Duration::from_millis(120));
         Some(request.found("[]"))
@@ -54,7 +54,7 @@
     block_on(async {
         let mut up = Harness::new(Settings::default());
         up.run(fake.address, 2, 30);
-        assert_eq!(up.failure().await, Failure::Broken);
+        assert_eq!(up.failure().await, Failure::TimedOut);
         until(|| up.pools.connections() == 0).await;
         up.quiet(Duration::from_millis(150)).await;
         assert_eq!(fake.requests(), 1);
--- a/crates/up/tests/harness.rs
+++ b/crates/up/tests/harness.rs
@@ -70,6 +70,16 @@
         }
     }
 
+    /// Waits for the next event, which must be the end of a cancelled attempt.
+    pub(crate) async fn cancelled(&mut self, attempt: AttemptId) {
+        let (ended, event) = self.report().await;
+        assert_eq!(ended, attempt);
+        assert!(
+            matches!(event, UpstreamEvent::Failed(Failure::Cancelled)),
+            "{event:?}"
+        );
+    }
+
     /// Checks that no event comes for a while.
     pub(crate) async fn quiet(&mut self, time: Duration) {
         let event = timeout(time, self.reports.next()).await;
--- a/crates/up/tests/limit.rs
+++ b/crates/up/tests/limit.rs
@@ -110,7 +110,7 @@
 }
 
 #[test]
-fn cancelled_attempt_is_silent_and_its_connection_is_reused() {
+fn cancelled_attempt_reports_when_its_connection_is_free() {
     let cancels = Arc::new(Mutex::new(Vec::new()));
     let seen = Arc::clone(&cancels);
     let fake = Fake::start(move |request| {
@@ -128,6 +128,7 @@
         let attempt = up.search(fake.address, 2, 5000);
         until(|| fake.requests() == 1).await;
         up.pools.cancel(attempt);
+        up.cancelled(attempt).await;
         up.quiet(Duration::from_millis(100)).await;
         assert_eq!(
             *cancels.lock().unwrap(),
@@ -150,6 +151,7 @@
         until(|| fake.requests() == 1).await;
         up.pools.cancel(attempt);
         up.search(fake.address, 1, 5000);
+        up.cancelled(attempt).await;
         assert!(matches!(up.report().await.1, UpstreamEvent::Replied(_)));
         up.quiet(Duration::from_millis(50)).await;
         assert_eq!((fake.requests(), fake.accepted()), (2, 1));
@@ -168,6 +170,7 @@
         let attempt = up.search(fake.address, 1, 60);
         until(|| fake.requests() == 1).await;
         up.pools.cancel(attempt);
+        up.cancelled(attempt).await;
         until(|| up.pools.connections() == 0).await;
         up.quiet(Duration::from_millis(20)).await;
     });
