--- a/crates/base/src/id.rs
+++ b/crates/base/src/id.rs
@@ -8,6 +8,9 @@
 /// Longest accepted name, in bytes.
 pub const MAX_NAME_BYTES: usize = 96;
 
+/// Most digits of the issue time of an idempotency key.
+const MAX_ISSUE_DIGITS: usize = 12;
+
 /// A text that is not a valid name or identifier.
 #[derive(Debug, Snafu, Clone, PartialEq, Eq)]
 #[snafu(visibility(pub))]
@@ -28,6 +31,14 @@
         /// The first character that is not allowed.
         found: char,
     },
+    /// The text does not start with an issue time.
+    #[snafu(display(
+        "{what} must start with its issue time in unix seconds, such as 1764800000-5f2c"
+    ))]
+    IssueTime {
+        /// Kind of name that was parsed.
+        what: &'static str,
+    },
     /// The text is not a number of the identifier's base.
     #[snafu(display("{what} must be a number"))]
     Number {
@@ -47,8 +58,29 @@
     }
 }
 
+/// Returns the issue time that a key starts with.
+fn issue_time(text: &str) -> Option<u64> {
+    let (seconds, rest) = text.split_once('-')?;
+    let digits = seconds.bytes().all(|b| b.is_ascii_digit());
+    if !digits || seconds.len() > MAX_ISSUE_DIGITS || rest.is_empty() {
+        return None;
+    }
+    seconds.parse().ok()
+}
+
+fn check_key(what: &'static str, text: &str) -> Result<(), IdError> {
+    check_name(what, text)?;
+    match issue_time(text) {
+        Some(_) => Ok(()),
+        None => Err(IdError::IssueTime { what }),
+    }
+}
+
 macro_rules! text_id {
     ($(#[$doc:meta])* $name:ident, $what:literal) => {
+        text_id!($(#[$doc])* $name, $what, check_name);
+    };
+    ($(#[$doc:meta])* $name:ident, $what:literal, $check:path) => {
         $(#[$doc])*
         #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
         #[serde(try_from = "Box<str>", into = "Box<str>")]
@@ -65,7 +97,7 @@
             type Err = IdError;
 
             fn from_str(text: &str) -> Result<Self, IdError> {
-                check_name($what, text)?;
+                $check($what, text)?;
                 Ok(Self(text.into()))
             }
         }
@@ -74,7 +106,7 @@
             type Error = IdError;
 
             fn try_from(text: Box<str>) -> Result<Self, IdError> {
-                check_name($what, &text)?;
+                $check($what, &text)?;
                 Ok(Self(text))
             }
         }
@@ -124,10 +156,18 @@
     DataCentre, "a data centre name"
 );
 text_id!(
-    /// Key that a caller gives to a request that must run at most once.
-    IdempotencyKey, "an idempotency key"
+    /// Key that a caller gives to a request that must run at most once: `<seconds>-<text>`, where
+    /// the first part is the time at which the caller issued it, in unix seconds.
+    IdempotencyKey, "an idempotency key", check_key
 );
 
+impl IdempotencyKey {
+    /// Returns the issue time in unix seconds.
+    pub fn issued(&self) -> u64 {
+        issue_time(&self.0).unwrap_or(0)
+    }
+}
+
 macro_rules! number_id {
     ($(#[$doc:meta])* $name:ident, $what:literal) => {
         $(#[$doc])*
--- a/crates/briarcove/src/serve/shell.rs
+++ b/crates/briarcove/src/serve/shell.rs
@@ -12,7 +12,8 @@
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::StreamExt;
 use node::{
-    Config, Effect, Event, Identity, Node, PlatformOp, members::MembersConfig, store::SyncConfig,
+    Config, Effect, Event, Identity, Node, PlatformOp, claims::ClaimsConfig,
+    members::MembersConfig, store::SyncConfig,
 };
 use slog::{Logger, info, warn};
 use snafu::ResultExt;
@@ -59,7 +60,11 @@
         timeout: cfg.platform.timeout,
         ..SyncConfig::default()
     };
-    Config { sync, members }
+    Config {
+        sync,
+        members,
+        claims: ClaimsConfig::default(),
+    }
 }
 
 /// Whether the loop goes on.
--- a/crates/front/src/answer.rs
+++ b/crates/front/src/answer.rs
@@ -42,6 +42,17 @@
             repeated,
         } => json(StatusCode::OK, json::done(*request, outcome, *repeated)),
         Answer::Refused(refusal) => refused(refusal),
+        Answer::Expired => {
+            let problem = Problem {
+                result: "expired",
+                reason: Some("key_expired"),
+                detail: Some(
+                    "not sent now; whether an earlier request with the key ran is not known",
+                ),
+                retry_after_ms: None,
+            };
+            json(StatusCode::GONE, problem.write())
+        }
         Answer::Unknown { retry_after } => {
             let problem = Problem {
                 result: "unknown",
--- a/crates/front/src/call.rs
+++ b/crates/front/src/call.rs
@@ -1,6 +1,6 @@
 //! Requests of callers, checked and turned into calls of the reducer.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use base::{EntryName, IdempotencyKey, RequestId};
 use bytes::{Bytes, BytesMut};
@@ -15,6 +15,9 @@
 static DEADLINE: HeaderName = HeaderName::from_static("deadline-ms");
 static KEY: HeaderName = HeaderName::from_static("idempotency-key");
 
+/// Longest time by which a key's issue time may be ahead of this instance's clock.
+const MAX_KEY_LEAD: Duration = Duration::from_secs(3_600);
+
 /// Start of the path of an entry.
 const ENTRIES: &str = "/v1/entries/";
 
@@ -91,8 +94,16 @@
 fn key(headers: &HeaderMap) -> Result<IdempotencyKey, BadRequest> {
     const NAME: &str = "idempotency-key";
     let text = field(headers, &KEY, NAME)?.ok_or(BadRequest::KeyMissing)?;
-    text.parse()
-        .map_err(|error: base::id::IdError| bad_header(NAME, error.to_string()))
+    let key: IdempotencyKey = text
+        .parse()
+        .map_err(|error: base::id::IdError| bad_header(NAME, error.to_string()))?;
+    // A key of the distant future would make the records of all others look old.
+    let latest = SystemTime::now() + MAX_KEY_LEAD;
+    let latest = latest.duration_since(UNIX_EPOCH).unwrap_or_default();
+    if key.issued() > latest.as_secs() {
+        return Err(bad_header(NAME, "its issue time is in the future"));
+    }
+    Ok(key)
 }
 
 fn parse_deadline(text: &str) -> Result<Duration, BadRequest> {
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -31,7 +31,7 @@
 const OTHER_ENTRY: &str = "(other)";
 
 /// What an answer says, as metrics name it.
-const OUTCOMES: [&str; 5] = ["found", "partial", "refused", "unknown", "done"];
+const OUTCOMES: [&str; 6] = ["found", "partial", "refused", "unknown", "done", "expired"];
 
 /// Name, help text and source of each counter that the reducer keeps.
 type CounterSource = (&'static str, &'static str, fn(&Counts) -> u64);
@@ -187,6 +187,7 @@
             }
             Answer::Unknown { .. } => (3, true),
             Answer::Done { .. } => (4, true),
+            Answer::Expired => (5, true),
         };
         let metrics = self.entry(entry, known);
         metrics.latency[outcome].observe(elapsed.as_secs_f64());
--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -82,6 +82,8 @@
     pub probe: bool,
     /// Times that it was relayed before it came to this instance.
     pub hops: u32,
+    /// The request of the once class that it carries; `None` for a search.
+    pub run: Option<RequestId>,
     /// The request, until it is sent.
     pub sub: Option<SubRequest>,
 }
--- /dev/null
+++ b/crates/node/src/claims/bucket.rs
@@ -0,0 +1,406 @@
+//! Group commit of one bucket: at most one call to the platform in flight, and everything that
+//! arrives meanwhile goes into the next write.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use base::{IdempotencyKey, OpId, RequestId, Time, Version};
+use rand::{Rng, rngs::SmallRng};
+
+use super::{Change, ClaimsConfig, Content, Ruling, Source, State, Verdict};
+use crate::{
+    effect::{Effect, Note, PlatformOp},
+    event::PlatformEvent,
+    object::{Kind, Object},
+    store::Cx,
+};
+
+/// Longest pause after a lost race for a write; a random part of it is waited.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(2);
+
+/// A change on its way to the platform.
+#[derive(Debug)]
+pub(super) struct Item {
+    change: Change,
+    /// Whether it was part of a write, so that its record may be there.
+    exposed: bool,
+    /// Whether the bucket was read since the change was made.
+    fresh: bool,
+}
+
+impl Item {
+    pub(super) fn new(change: Change) -> Self {
+        Self {
+            change,
+            exposed: false,
+            fresh: false,
+        }
+    }
+
+    fn is_claim(&self) -> bool {
+        matches!(self.change, Change::Claim(..))
+    }
+}
+
+/// Content of the bucket at a version.
+#[derive(Debug)]
+struct Cached {
+    /// `None` while the object does not exist.
+    version: Option<Version>,
+    content: Content,
+}
+
+/// A write that was not acknowledged and may still take effect while the version is this one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Unresolved {
+    expected: Option<Version>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Stage {
+    Idle,
+    Reading,
+    Writing,
+}
+
+/// A call that was started.
+#[derive(Debug)]
+pub(super) struct Started {
+    pub(super) op: OpId,
+    /// Size of the object that is written; zero for a read.
+    pub(super) written: usize,
+}
+
+/// One bucket.
+#[derive(Debug)]
+pub(super) struct Bucket {
+    name: Box<str>,
+    stage: Stage,
+    /// Committed content, or while a write is in flight the content that it writes.
+    cached: Option<Cached>,
+    queue: Vec<Item>,
+    /// Changes of the write in flight.
+    batch: Vec<Item>,
+    unresolved: Option<Unresolved>,
+    failures: u32,
+    due: Time,
+    next_write: Time,
+    used: Time,
+}
+
+impl Bucket {
+    pub(super) fn new(number: u32) -> Self {
+        Self {
+            name: number.to_string().into(),
+            stage: Stage::Idle,
+            cached: None,
+            queue: Vec::new(),
+            batch: Vec::new(),
+            unresolved: None,
+            failures: 0,
+            due: Time::ZERO,
+            next_write: Time::ZERO,
+            used: Time::ZERO,
+        }
+    }
+
+    pub(super) fn push(&mut self, now: Time, cfg: &ClaimsConfig, item: Item) {
+        if self.queue.is_empty() && self.failures == 0 {
+            // The first read need not wait for others.
+            let linger = self.cached.is_some().then_some(cfg.linger);
+            self.due = self.due.max(now + linger.unwrap_or_default());
+            self.due = self.due.max(self.next_write);
+        }
+        self.queue.push(item);
+        self.used = now;
+    }
+
+    pub(super) fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    pub(super) fn last_used(&self) -> Time {
+        self.used
+    }
+
+    pub(super) fn cached_bytes(&self) -> usize {
+        self.cached.as_ref().map_or(0, |c| c.content.size())
+    }
+
+    pub(super) fn is_idle(&self) -> bool {
+        self.stage == Stage::Idle && self.queue.is_empty() && self.unresolved.is_none()
+    }
+
+    pub(super) fn has_unsaved(&self) -> bool {
+        self.queue.iter().chain(&self.batch).any(|i| !i.is_claim())
+    }
+
+    /// Returns when [`Bucket::step`] has something to do.
+    pub(super) fn next_step(&self) -> Time {
+        match self.stage {
+            Stage::Idle if !self.is_idle() => self.due,
+            Stage::Idle | Stage::Reading | Stage::Writing => Time::NEVER,
+        }
+    }
+
+    /// Forgets an own claim; one that may be on record turns into its release.
+    pub(super) fn withdraw(
+        &mut self,
+        now: Time,
+        cfg: &ClaimsConfig,
+        key: &IdempotencyKey,
+        request: RequestId,
+    ) {
+        let is_it = |item: &Item| matches!(&item.change, Change::Claim(c, Source::Own) if c.request == request);
+        let release = || Change::Release {
+            request,
+            key: key.clone(),
+        };
+        if self.batch.iter().any(is_it) {
+            // The write in flight may put the record there; the release follows it.
+            self.batch.retain(|item| !is_it(item));
+            let mut item = Item::new(release());
+            item.exposed = true;
+            return self.push(now, cfg, item);
+        }
+        for item in self.queue.iter_mut().filter(|item| is_it(item)) {
+            if item.exposed {
+                item.change = release();
+            }
+        }
+        self.queue.retain(|item| !is_it(item));
+    }
+
+    /// Starts the next call if one is due.
+    pub(super) fn step(
+        &mut self,
+        cx: &mut Cx<'_>,
+        cfg: &ClaimsConfig,
+        rulings: &mut Vec<Ruling>,
+    ) -> Option<Started> {
+        if self.next_step() > cx.now {
+            return None;
+        }
+        if self.cached.is_none() || self.needs_read(cfg) {
+            return Some(self.read(cx));
+        }
+        let changed = self.evaluate(cfg, rulings);
+        let cached = self.cached.as_ref()?;
+        // Writing the same content again fences a write that may still land.
+        let fence = self.unresolved.is_some();
+        if !changed && !fence {
+            return None;
+        }
+        let value = cached.content.to_json();
+        let written = value.len();
+        let op = cx.platform(PlatformOp::Write {
+            kind: Kind::Claims,
+            name: self.name.clone(),
+            expect: cached.version,
+            value,
+        });
+        self.stage = Stage::Writing;
+        self.next_write = cx.now + cfg.interval;
+        Some(Started { op, written })
+    }
+
+    fn read(&mut self, cx: &mut Cx<'_>) -> Started {
+        self.cached = None;
+        let op = cx.platform(PlatformOp::Read {
+            kind: Kind::Claims,
+            name: self.name.clone(),
+        });
+        self.stage = Stage::Reading;
+        Started { op, written: 0 }
+    }
+
+    /// Returns whether a claim depends on a record that may have changed since it was read.
+    fn needs_read(&self, cfg: &ClaimsConfig) -> bool {
+        let Some(cached) = &self.cached else {
+            return true;
+        };
+        let is_stale = |item: &Item| {
+            let Change::Claim(claim, _) = &item.change else {
+                return false;
+            };
+            !item.fresh
+                && cached.content.get(&claim.key).is_some_and(|held| {
+                    let final_outcome = matches!(held.state, State::Done(_));
+                    held.request != claim.request && !(final_outcome && held.digest == claim.digest)
+                })
+        };
+        self.queue.iter().take(cfg.batch).any(is_stale)
+    }
+
+    /// Applies the next batch to the content; returns whether that changed it.
+    fn evaluate(&mut self, cfg: &ClaimsConfig, rulings: &mut Vec<Ruling>) -> bool {
+        let Some(cached) = &mut self.cached else {
+            return false;
+        };
+        let content = &mut cached.content;
+        let count = self.queue.len().min(cfg.batch);
+        let mut added: BTreeSet<RequestId> = BTreeSet::new();
+        let mut changed = false;
+        for mut item in self.queue.drain(..count) {
+            match &item.change {
+                Change::Claim(claim, source) => {
+                    let on_record = content
+                        .get(&claim.key)
+                        .is_some_and(|held| held.request == claim.request);
+                    let verdict = content.claim(claim, cfg.bounds);
+                    let is_new = verdict == Verdict::Claimed && !on_record;
+                    if is_new {
+                        added.insert(claim.request);
+                        changed = true;
+                    }
+                    if !added.contains(&claim.request) {
+                        rulings.push(Ruling {
+                            claim: claim.clone(),
+                            source: source.clone(),
+                            verdict,
+                        });
+                        continue;
+                    }
+                }
+                Change::Settle {
+                    request,
+                    key,
+                    state,
+                } => {
+                    if !content.settle(key, *request, state, cfg.bounds) {
+                        continue;
+                    }
+                    changed = true;
+                }
+                Change::Release { request, key } => {
+                    if !content.release(key, *request) {
+                        continue;
+                    }
+                    changed = true;
+                }
+            }
+            item.exposed = true;
+            self.batch.push(item);
+        }
+        changed
+    }
+
+    /// Takes the platform's answer to the call in flight.
+    pub(super) fn on_platform(
+        &mut self,
+        cx: &mut Cx<'_>,
+        cfg: &ClaimsConfig,
+        rng: &mut SmallRng,
+        event: &PlatformEvent,
+        rulings: &mut Vec<Ruling>,
+    ) {
+        let writing = self.stage == Stage::Writing;
+        self.stage = Stage::Idle;
+        self.used = cx.now;
+        match event {
+            PlatformEvent::Written(version) if writing => self.written(cx.now, *version, rulings),
+            PlatformEvent::Conflict if writing => {
+                self.unresolved = None;
+                self.requeue();
+                let pause = CONFLICT_PAUSE.mul_f64(rng.random());
+                self.due = cx.now + pause;
+            }
+            PlatformEvent::Unknown if writing => {
+                let expected = self.cached.as_ref().and_then(|c| c.version);
+                self.unresolved = Some(Unresolved { expected });
+                self.requeue();
+                self.due = cx.now;
+            }
+            PlatformEvent::Read(object) if !writing => self.take(cx, cfg, object, rulings),
+            _ => {
+                self.requeue();
+                self.back_off(cx.now, cfg, rng);
+            }
+        }
+    }
+
+    fn written(&mut self, now: Time, version: Version, rulings: &mut Vec<Ruling>) {
+        if let Some(cached) = &mut self.cached {
+            cached.version = Some(version);
+        }
+        self.unresolved = None;
+        self.failures = 0;
+        self.due = now.max(self.next_write);
+        for item in self.batch.drain(..) {
+            if let Change::Claim(claim, source) = item.change {
+                rulings.push(Ruling {
+                    claim,
+                    source,
+                    verdict: Verdict::Claimed,
+                });
+            }
+        }
+    }
+
+    /// Takes the object that was read.
+    fn take(
+        &mut self,
+        cx: &mut Cx<'_>,
+        cfg: &ClaimsConfig,
+        object: &Option<Object>,
+        rulings: &mut Vec<Ruling>,
+    ) {
+        let version = object.as_ref().map(|o| o.version);
+        let content = match object {
+            Some(object) => Content::from_json(&object.value),
+            None => Ok(Content::default()),
+        };
+        match content {
+            Ok(content) => {
+                // A write that expected another version can never take effect.
+                self.unresolved = self.unresolved.filter(|u| u.expected == version);
+                self.cached = Some(Cached { version, content });
+                for item in &mut self.queue {
+                    item.fresh = true;
+                }
+                self.failures = 0;
+                self.due = cx.now;
+            }
+            Err(error) => {
+                cx.effects.push(Effect::Note(Note::BadObject {
+                    kind: Kind::Claims,
+                    name: self.name.clone(),
+                    problem: error.to_string().into(),
+                }));
+                self.refuse_claims(rulings);
+                self.due = cx.now + cfg.last_backoff;
+            }
+        }
+    }
+
+    /// Refuses all claims that wait: the bucket cannot be read.
+    fn refuse_claims(&mut self, rulings: &mut Vec<Ruling>) {
+        for item in std::mem::take(&mut self.queue) {
+            match item.change {
+                Change::Claim(claim, source) => rulings.push(Ruling {
+                    claim,
+                    source,
+                    verdict: Verdict::Refused,
+                }),
+                Change::Settle { .. } | Change::Release { .. } => self.queue.push(item),
+            }
+        }
+    }
+
+    /// Puts the changes of a write that was not acknowledged before those that wait.
+    fn requeue(&mut self) {
+        self.cached = None;
+        let mut queue = std::mem::take(&mut self.batch);
+        queue.append(&mut self.queue);
+        self.queue = queue;
+    }
+
+    fn back_off(&mut self, now: Time, cfg: &ClaimsConfig, rng: &mut SmallRng) {
+        let doublings = self.failures.min(16);
+        self.failures += 1;
+        let longest = cfg
+            .first_backoff
+            .saturating_mul(1 << doublings)
+            .min(cfg.last_backoff);
+        self.due = now + longest.mul_f64(0.5 + rng.random::<f64>() / 2.0);
+    }
+}
--- /dev/null
+++ b/crates/node/src/claims/content.rs
@@ -0,0 +1,266 @@
+//! Content of one bucket: its records, and the floor below which keys are refused.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{IdempotencyKey, RequestId};
+use bytes::Bytes;
+use serde::Deserialize;
+
+use super::record::{Record, Row, State};
+
+/// Bytes of a bucket without its records.
+const BASE_BYTES: usize = 64;
+
+/// Share of the largest size that is freed at once when a bucket is full, as a divisor.
+const FREE_DIVISOR: usize = 16;
+
+/// Bounds of a bucket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Bounds {
+    /// Largest size of the object, in bytes.
+    pub bytes: usize,
+    /// Shortest time for which a record is kept, by the issue times of the keys.
+    pub retention: Duration,
+}
+
+/// A request to put a claim on record.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Claim {
+    /// The request that is to hold the key.
+    pub request: RequestId,
+    /// The key.
+    pub key: IdempotencyKey,
+    /// Digest of entry and body.
+    pub digest: u64,
+}
+
+/// What a bucket says to a claim.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The claim is on record.
+    Claimed,
+    /// Another request holds the key.
+    Held(Record),
+    /// The key is older than everything that is kept.
+    Expired,
+    /// There is no room, and no record is old enough to go.
+    Full,
+    /// Nothing could be read or written for a reason that waiting does not mend, or too much waits.
+    Refused,
+}
+
+#[derive(Debug)]
+struct Kept {
+    record: Record,
+    text: Box<[u8]>,
+}
+
+/// Records by issue time and key, with the floor.
+#[derive(Debug, Default)]
+pub struct Content {
+    floor: Option<u64>,
+    records: BTreeMap<(u64, IdempotencyKey), Kept>,
+    bytes: usize,
+}
+
+#[derive(Deserialize)]
+struct Document {
+    #[serde(default)]
+    floor: Option<u64>,
+    records: Vec<Row>,
+}
+
+impl Content {
+    /// Reads a bucket.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the object is not a valid bucket.
+    pub fn from_json(json: &[u8]) -> Result<Self, serde_json::Error> {
+        let document: Document = serde_json::from_slice(json)?;
+        let mut content = Self {
+            floor: document.floor,
+            ..Self::default()
+        };
+        for row in document.records {
+            content.put(&row.key, row.record);
+        }
+        Ok(content)
+    }
+
+    /// Writes the bucket as compact JSON.
+    pub fn to_json(&self) -> Bytes {
+        let mut json = Vec::with_capacity(self.size());
+        json.push(b'{');
+        if let Some(floor) = self.floor {
+            json.extend_from_slice(format!("\"floor\":{floor},").as_bytes());
+        }
+        json.extend_from_slice(b"\"records\":[");
+        for (place, kept) in self.records.values().enumerate() {
+            if place > 0 {
+                json.push(b',');
+            }
+            json.extend_from_slice(&kept.text);
+        }
+        json.extend_from_slice(b"]}");
+        json.into()
+    }
+
+    /// Returns the size as JSON, in bytes, or a little more.
+    pub fn size(&self) -> usize {
+        BASE_BYTES + self.bytes
+    }
+
+    /// Returns the issue time at and below which keys are refused.
+    pub fn floor(&self) -> Option<u64> {
+        self.floor
+    }
+
+    /// Returns the record of a key.
+    pub fn get(&self, key: &IdempotencyKey) -> Option<&Record> {
+        self.records.get(&place(key)).map(|kept| &kept.record)
+    }
+
+    /// Returns how many records there are.
+    pub fn len(&self) -> usize {
+        self.records.len()
+    }
+
+    /// Returns whether there are no records.
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// Puts a claim on record unless its key is held, too old, or has no room.
+    pub fn claim(&mut self, claim: &Claim, bounds: Bounds) -> Verdict {
+        if let Some(held) = self.get(&claim.key) {
+            let own = held.request == claim.request;
+            return match own {
+                true => Verdict::Claimed,
+                false => Verdict::Held(held.clone()),
+            };
+        }
+        if self.is_expired(&claim.key) {
+            return Verdict::Expired;
+        }
+        let record = Record {
+            digest: claim.digest,
+            request: claim.request,
+            state: State::Claimed,
+        };
+        let needed = record.encode(&claim.key).len() + 1;
+        if !self.make_room(needed, claim.key.issued(), bounds) {
+            return Verdict::Full;
+        }
+        if self.is_expired(&claim.key) {
+            return Verdict::Expired;
+        }
+        self.put(&claim.key, record);
+        Verdict::Claimed
+    }
+
+    /// Records what became of a request; returns whether anything changed.
+    pub fn settle(
+        &mut self,
+        key: &IdempotencyKey,
+        request: RequestId,
+        state: &State,
+        bounds: Bounds,
+    ) -> bool {
+        let Some(held) = self.own(key, request) else {
+            return false;
+        };
+        if held.state == *state || matches!(held.state, State::Done(_)) {
+            return false;
+        }
+        let digest = held.digest;
+        let record = |state| Record {
+            digest,
+            request,
+            state,
+        };
+        let before = self.bytes;
+        self.put(key, record(state.clone()));
+        if self.size() > bounds.bytes && self.bytes > before && matches!(state, State::Done(_)) {
+            self.put(key, record(State::Done(None)));
+        }
+        true
+    }
+
+    /// Takes the claim of a request that was never sent off the record; returns whether it was on.
+    pub fn release(&mut self, key: &IdempotencyKey, request: RequestId) -> bool {
+        let claimed = self
+            .own(key, request)
+            .is_some_and(|held| held.state == State::Claimed);
+        if claimed {
+            self.remove(&place(key));
+        }
+        claimed
+    }
+
+    fn own(&self, key: &IdempotencyKey, request: RequestId) -> Option<&Record> {
+        self.get(key).filter(|held| held.request == request)
+    }
+
+    fn is_expired(&self, key: &IdempotencyKey) -> bool {
+        self.floor.is_some_and(|floor| key.issued() <= floor)
+    }
+
+    fn put(&mut self, key: &IdempotencyKey, record: Record) {
+        let text = record.encode(key);
+        self.bytes += text.len() + 1;
+        if let Some(old) = self.records.insert(place(key), Kept { record, text }) {
+            self.bytes -= old.text.len() + 1;
+        }
+    }
+
+    fn remove(&mut self, place: &(u64, IdempotencyKey)) {
+        if let Some(old) = self.records.remove(place) {
+            self.bytes -= old.text.len() + 1;
+        }
+    }
+
+    /// Drops the oldest records until `needed` bytes fit; returns whether they do.
+    fn make_room(&mut self, needed: usize, issued: u64, bounds: Bounds) -> bool {
+        if self.size() + needed <= bounds.bytes {
+            return true;
+        }
+        let newest = self.records.last_key_value().map_or(0, |((at, _), _)| *at);
+        let last = newest
+            .max(issued)
+            .saturating_sub(bounds.retention.as_secs());
+        let must_free = (self.size() + needed).saturating_sub(bounds.bytes);
+        let wanted = must_free.max(bounds.bytes / FREE_DIVISOR);
+        let mut freed = 0;
+        let mut floor = None;
+        for ((at, _), kept) in &self.records {
+            if *at > last || (freed >= wanted && floor != Some(*at)) {
+                break;
+            }
+            freed += kept.text.len() + 1;
+            floor = Some(*at);
+        }
+        if freed < must_free {
+            return false;
+        }
+        self.raise(floor);
+        true
+    }
+
+    /// Raises the floor; everything at or below it goes.
+    fn raise(&mut self, floor: Option<u64>) {
+        self.floor = self.floor.max(floor);
+        while let Some(((at, _), _)) = self.records.first_key_value() {
+            if Some(*at) > self.floor {
+                break;
+            }
+            if let Some((_, old)) = self.records.pop_first() {
+                self.bytes -= old.text.len() + 1;
+            }
+        }
+    }
+}
+
+fn place(key: &IdempotencyKey) -> (u64, IdempotencyKey) {
+    (key.issued(), key.clone())
+}
--- a/crates/node/src/config.rs
+++ b/crates/node/src/config.rs
@@ -25,6 +25,9 @@
             ops: &mut self.ops,
             effects,
         };
+        if let Some(rulings) = self.claims.on_platform(&mut cx, op, &event) {
+            return self.take_rulings(now, rulings, effects);
+        }
         let changes = self.sync.on_platform(&mut cx, op, &event, &mut self.store);
         self.take_changes(now, changes.unwrap_or_default(), effects);
     }
--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -160,6 +160,8 @@
                     self.probe_ended(now, key, &attempt, false, effects);
                 }
             }
+            // A run that was sent is never taken back.
+            Stage::Sent if attempt.run.is_some() => {}
             Stage::Sent => {
                 attempt.stage = Stage::Cancelled;
                 self.stats.cancelled += 1;
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -9,6 +9,9 @@
 /// Longest wait for other instances to take over what this one owns.
 const HANDOVER_WAIT: Duration = Duration::from_secs(2);
 
+/// Longest wait for the platform to take the last outcomes.
+const OUTCOME_WAIT: Duration = Duration::from_secs(5);
+
 impl Node {
     /// Starts the shutdown: new requests are refused, and peers stop relaying to this instance.
     pub(crate) fn drain(&mut self, now: Time, effects: &mut Vec<Effect>) {
@@ -17,6 +20,7 @@
         }
         self.stats.draining = true;
         self.draining_since = now;
+        self.idle_since = now;
         let hints = self.hints(now);
         self.members.leave(now, &hints, effects);
         self.follow_view(now, effects);
@@ -24,7 +28,12 @@
 
     /// Ends the instance once nothing is in flight and its upstreams are handed over.
     pub(crate) fn stop_when_idle(&mut self, now: Time, effects: &mut Vec<Effect>) {
-        let idle = self.queries.is_empty() && self.attempts.is_empty();
+        let idle = self.queries.is_empty() && self.attempts.is_empty() && self.runs.is_empty();
+        if !idle {
+            self.idle_since = now;
+        }
+        // With the platform down the last outcomes stay unknown to repeated requests.
+        let unsaved = self.claims.has_unsaved() && now.since(self.idle_since) < OUTCOME_WAIT;
         let has_heirs = self
             .members
             .live_in(&self.identity.data_centre)
@@ -32,7 +41,7 @@
             .is_some();
         let waits =
             has_heirs && self.owners.held() > 0 && now.since(self.draining_since) < HANDOVER_WAIT;
-        if idle && !waits && !self.stopped {
+        if idle && !waits && !unsaved && !self.stopped {
             self.stopped = true;
             effects.push(Effect::Stop);
         }
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -100,6 +100,9 @@
     },
     /// The request did not run and will not.
     Refused(Refusal),
+    /// The request was not sent and will not be, but its key is too old to tell whether an earlier
+    /// request with the same key ran.
+    Expired,
     /// The request may or may not have run; it is not run again.
     Unknown {
         /// Time after which the caller may ask for the outcome with the same key.
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod budget;
+pub mod claims;
 mod config;
 pub mod directory;
 mod dispatch;
@@ -23,6 +24,7 @@
 pub mod quarantine;
 pub mod query;
 mod relay;
+mod relay_run;
 mod replies;
 mod run;
 mod search;
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -71,6 +71,9 @@
             Some(Body::Cancel(cancel)) => self.on_cancel(now, &from, cancel.attempts, effects),
             Some(Body::Handover(m)) => self.on_handover(&from, &m.upstreams, effects),
             Some(Body::Released(m)) => self.on_released(now, &from, &m.upstreams, effects),
+            Some(Body::RelayRun(run)) => {
+                self.on_relay_run(now, &from, envelope.incarnation, run, effects);
+            }
             Some(Body::Claim(_) | Body::Claimed(_)) => {}
             None => self.bad_message(&from, "a message without a body", effects),
         }
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -2,13 +2,14 @@
 
 use std::{collections::HashMap, net::SocketAddr};
 
-use base::{DataCentre, Incarnation, InstanceName, OpId, Time};
+use base::{DataCentre, Incarnation, InstanceName, OpId, RequestId, Time};
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
 use crate::{
     admission::Admission,
     attempt::{AttemptKey, Attempts, QueryKey},
+    claims::{Claims, ClaimsConfig},
     directory::Directory,
     effect::Effect,
     event::{Call, Event},
@@ -19,6 +20,8 @@
     quarantine::Quarantine,
     query::Query,
     relay::Outbox,
+    relay_run::RelayedRuns,
+    run::{NewRun, Runs},
     search::NewSearch,
     stats::Stats,
     store::{Store, Sync, SyncConfig},
@@ -46,6 +49,8 @@
     pub sync: SyncConfig,
     /// Membership.
     pub members: MembersConfig,
+    /// Claims of the once class.
+    pub claims: ClaimsConfig,
 }
 
 /// What a timer is for.
@@ -55,6 +60,10 @@
     Deadline(QueryKey),
     /// The parts of a search are looked at.
     Check(QueryKey),
+    /// A request of the once class has reached its deadline.
+    Run(RequestId),
+    /// A peer's request is dropped if it still waits for a slot.
+    Relayed(AttemptKey),
 }
 
 /// State of one instance.
@@ -70,6 +79,9 @@
     pub(crate) admission: Admission,
     pub(crate) quarantine: Quarantine,
     pub(crate) queries: SlotMap<QueryKey, Query>,
+    pub(crate) runs: Runs,
+    pub(crate) claims: Claims,
+    pub(crate) relayed_runs: RelayedRuns,
     pub(crate) attempts: Attempts,
     pub(crate) probes: Probes,
     pub(crate) members: Members,
@@ -85,6 +97,8 @@
     pub(crate) timers: Timers<Timer>,
     pub(crate) stats: Stats,
     pub(crate) draining_since: Time,
+    /// Last time at which a request was in flight during the shutdown.
+    pub(crate) idle_since: Time,
     pub(crate) stopped: bool,
 }
 
@@ -110,6 +124,9 @@
             admission: Admission::default(),
             quarantine: Quarantine::default(),
             queries: SlotMap::with_key(),
+            runs: Runs::default(),
+            claims: Claims::new(cfg.claims, seed),
+            relayed_runs: RelayedRuns::default(),
             attempts: Attempts::with_key(),
             probes: Probes::default(),
             members: Members::new(cfg.members, me, now),
@@ -122,6 +139,7 @@
             timers: Timers::default(),
             stats: Stats::default(),
             draining_since: Time::ZERO,
+            idle_since: Time::ZERO,
             stopped: false,
         }
     }
@@ -162,29 +180,54 @@
                     body,
                 },
             ) => {
-                let _ = (call, request, entry, deadline, key, body);
+                self.run(
+                    now,
+                    call,
+                    NewRun {
+                        request,
+                        entry,
+                        deadline,
+                        key,
+                        body,
+                    },
+                    effects,
+                );
+            }
+            Event::CallerGone(call) => {
+                self.drop_call(now, call, effects);
+                self.drop_run_call(now, call, effects);
             }
-            Event::CallerGone(call) => self.drop_call(now, call, effects),
             Event::Upstream(attempt, event) => self.on_upstream(now, attempt, event, effects),
             Event::Platform(op, event) => self.on_platform(now, op, event, effects),
             Event::Peer(message) => self.on_peer(now, message, effects),
             Event::Drain => self.drain(now, effects),
         }
         self.fire_timers(now, effects);
+        self.poll_claims(now, effects);
         if !frequent {
             self.tick_members(now, effects);
             self.poll_sync(now, effects);
         }
+        self.count_claims();
         if self.stats.draining {
             self.stop_when_idle(now, effects);
         }
     }
 
+    fn count_claims(&mut self) {
+        let counts = self.claims.counts();
+        self.stats.claims = counts.claims;
+        self.stats.claim_writes = counts.writes;
+        self.stats.platform_calls = self.ops.0;
+    }
+
     fn fire_timers(&mut self, now: Time, effects: &mut Vec<Effect>) {
         while let Some(timer) = self.timers.due(now) {
             match timer {
                 Timer::Deadline(query) => self.finish(now, query, effects),
                 Timer::Check(query) => self.check_query(now, query, effects),
+                Timer::Run(request) => self.run_deadline(now, request, effects),
+                Timer::Relayed(attempt) => self.relayed_deadline(now, attempt, effects),
             }
         }
     }
@@ -193,6 +236,7 @@
     pub fn next_wake(&self) -> Option<Time> {
         let wakes = [
             self.timers.next(),
+            Some(self.claims.next_wake()).filter(|wake| *wake < Time::NEVER),
             Some(self.sync.next_wake()),
             Some(self.members.next_wake()),
             self.owners.next_wake(),
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -7,7 +7,7 @@
 
 use base::{InstanceName, RequestId, SnapshotId, Time};
 use bytes::Bytes;
-use wire::{Body, Relay, RelayPart, RelayResult, Relayed, ResultCode};
+use wire::{Body, Relay, RelayPart, RelayResult, RelayRun, Relayed, ResultCode};
 
 use crate::{
     attempt::{Attempt, AttemptKey, Origin, Stage},
@@ -17,6 +17,7 @@
     node::Node,
     protocol::{Echo, Hit, SubRequest},
     quarantine::fingerprint,
+    relay_run::of_run,
     search::Ended,
 };
 
@@ -29,6 +30,21 @@
     relays: BTreeMap<(InstanceName, RequestId, SnapshotId, u32), Relay>,
     results: BTreeMap<InstanceName, Vec<RelayResult>>,
     cancels: BTreeMap<InstanceName, Vec<u64>>,
+    runs: Vec<(InstanceName, RelayRun)>,
+}
+
+impl Outbox {
+    /// Adds a run for the owner of its upstream.
+    pub(crate) fn push_run(&mut self, peer: InstanceName, run: RelayRun) {
+        self.runs.push((peer, run));
+    }
+
+    fn is_empty(&self) -> bool {
+        self.relays.is_empty()
+            && self.results.is_empty()
+            && self.cancels.is_empty()
+            && self.runs.is_empty()
+    }
 }
 
 impl Node {
@@ -45,11 +61,16 @@
         let peer = self
             .next_hop(attempt.upstream)
             .filter(|_| attempt.hops < MAX_HOPS);
+        let is_run = attempt.run.is_some();
         let key = self.insert_attempt(attempt);
         let Some(peer) = peer else {
             return (key, Dispatched::Rejected(Ended::NotSent));
         };
-        self.relay(now, key, peer);
+        if !is_run {
+            self.relay(now, key, peer);
+        } else if !self.relay_run(now, key, &peer) {
+            return (key, Dispatched::Rejected(Ended::NotSent));
+        }
         (key, Dispatched::Accepted)
     }
 
@@ -138,6 +159,7 @@
                 fingerprint,
                 probe: part.probe,
                 hops: relay.hops,
+                run: None,
                 sub: Some(SubRequest::Search {
                     echo,
                     limit: relay.limit,
@@ -165,10 +187,12 @@
     ) {
         for result in relayed.results {
             let key = AttemptKey::from_id(base::AttemptId(result.attempt));
-            let expected = self
-                .attempts
-                .get(key)
-                .is_some_and(|a| matches!(&a.stage, Stage::Relayed(peer) if peer == from));
+            // An attempt's number may have been used by an earlier start of this instance, whose
+            // results must not be taken for those of another run.
+            let run = read_request(&result.run);
+            let expected = self.attempts.get(key).is_some_and(|a| {
+                a.run == run && matches!(&a.stage, Stage::Relayed(peer) if peer == from)
+            });
             if !expected {
                 self.stats.discarded += 1;
                 continue;
@@ -221,7 +245,7 @@
             ..write_result(*number, event)
         };
         self.relayed_in.remove(&(from.clone(), *number));
-        self.reply_to(from, result);
+        self.reply_to(from, named(result, attempt));
     }
 
     /// Tells a peer that its sub-request was not sent to the upstream.
@@ -234,16 +258,19 @@
             return;
         };
         let code = match ended {
+            // What was relayed on may have been sent.
+            _ if attempt.run.is_some() && attempt.stage != Stage::Queued => ResultCode::Invalid,
+            Ended::Broke if attempt.run.is_some() => ResultCode::Unrouted,
             Ended::Leaving => ResultCode::Leaving,
             Ended::Overloaded => ResultCode::Overloaded,
             Ended::Broke => ResultCode::Broke,
             Ended::NotSent | Ended::NoSnapshot | Ended::Invalid => ResultCode::Unrouted,
         };
         self.relayed_in.remove(&(from.clone(), *number));
-        self.reply_to(from, refusal(*number, code));
+        self.reply_to(from, named(refusal(*number, code), attempt));
     }
 
-    fn reply_to(&mut self, peer: &InstanceName, result: RelayResult) {
+    pub(crate) fn reply_to(&mut self, peer: &InstanceName, result: RelayResult) {
         match self.outbox.results.get_mut(peer) {
             Some(results) => results.push(result),
             None => {
@@ -282,16 +309,16 @@
 
     /// Sends what was collected during a batch of events.
     pub fn settle(&mut self, effects: &mut Vec<Effect>) {
-        if self.outbox.relays.is_empty()
-            && self.outbox.results.is_empty()
-            && self.outbox.cancels.is_empty()
-        {
+        if self.outbox.is_empty() {
             return;
         }
         let outbox = std::mem::take(&mut self.outbox);
         for ((peer, ..), relay) in outbox.relays {
             self.tell(&peer, Body::Relay(relay), effects);
         }
+        for (peer, run) in outbox.runs {
+            self.tell(&peer, Body::RelayRun(run), effects);
+        }
         for (peer, results) in outbox.results {
             self.tell(&peer, Body::Relayed(Relayed { results }), effects);
         }
@@ -301,13 +328,21 @@
     }
 }
 
+/// Names the request that a result is of, when it is of the once class.
+fn named(result: RelayResult, attempt: &Attempt) -> RelayResult {
+    match attempt.run {
+        Some(request) => of_run(result, request),
+        None => result,
+    }
+}
+
 /// Reads a request id, which is 16 bytes, big-endian.
-fn read_request(bytes: &[u8]) -> Option<RequestId> {
+pub(crate) fn read_request(bytes: &[u8]) -> Option<RequestId> {
     let bytes: [u8; 16] = bytes.try_into().ok()?;
     Some(RequestId(u128::from_be_bytes(bytes)))
 }
 
-fn refusal(attempt: u64, code: ResultCode) -> RelayResult {
+pub(crate) fn refusal(attempt: u64, code: ResultCode) -> RelayResult {
     RelayResult {
         attempt,
         code: code.into(),
@@ -339,9 +374,17 @@
         UpstreamEvent::Failed(Failure::Connect) => refusal(attempt, ResultCode::NotSent),
         UpstreamEvent::Failed(Failure::Unrouted) => refusal(attempt, ResultCode::Unrouted),
         UpstreamEvent::Failed(Failure::Broken) => refusal(attempt, ResultCode::Broke),
-        UpstreamEvent::Failed(_) | UpstreamEvent::Ran { .. } => {
-            refusal(attempt, ResultCode::Invalid)
-        }
+        UpstreamEvent::Failed(_) => refusal(attempt, ResultCode::Invalid),
+        UpstreamEvent::Ran {
+            request,
+            outcome,
+            draining,
+        } => RelayResult {
+            request: Bytes::copy_from_slice(&request.0.to_be_bytes()),
+            outcome,
+            draining,
+            ..refusal(attempt, ResultCode::Ran)
+        },
     }
 }
 
@@ -393,6 +436,11 @@
         ResultCode::Unrouted => UpstreamEvent::Failed(Failure::Unrouted),
         ResultCode::Broke => UpstreamEvent::Failed(Failure::Broken),
         ResultCode::Invalid => UpstreamEvent::Failed(Failure::Malformed),
+        ResultCode::Ran => UpstreamEvent::Ran {
+            request: read_request(&result.request)?,
+            outcome: result.outcome,
+            draining,
+        },
     };
     Some((event, queued))
 }
--- /dev/null
+++ b/crates/node/src/relay_run.rs
@@ -0,0 +1,197 @@
+//! Requests of the once class that go through the instance which owns their upstream.
+//!
+//! The owner takes each message once: a sender counts the runs that it relays, and the owner
+//! ignores counts that it has seen or that are far behind, messages of an earlier start of the
+//! sender, and messages for an earlier start of its own.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use base::{InstanceName, RequestId, Time};
+use bytes::Bytes;
+use wire::{RelayRun, ResultCode};
+
+use crate::{
+    attempt::{Attempt, AttemptKey, Origin, Stage},
+    dispatch::Dispatched,
+    effect::Effect,
+    node::{Node, Timer},
+    protocol::SubRequest,
+    quarantine::fingerprint,
+    relay::{read_request, refusal},
+    search::Ended,
+};
+
+/// Counts behind the greatest one that are told apart; older ones are ignored.
+const WINDOW: u64 = 4_096;
+
+/// Runs that one sender has relayed to this instance.
+#[derive(Debug, Default)]
+struct Sender {
+    incarnation: u64,
+    greatest: u64,
+    taken: BTreeSet<u64>,
+}
+
+/// Count of the runs relayed by this instance, and the counts seen of others.
+#[derive(Debug, Default)]
+pub(crate) struct RelayedRuns {
+    sent: u64,
+    senders: BTreeMap<InstanceName, Sender>,
+}
+
+impl RelayedRuns {
+    /// Returns whether a message is new.
+    fn take(&mut self, from: &InstanceName, incarnation: u64, number: u64) -> bool {
+        let sender = self.senders.entry(from.clone()).or_default();
+        if incarnation > sender.incarnation {
+            *sender = Sender {
+                incarnation,
+                ..Sender::default()
+            };
+        }
+        let is_old = incarnation < sender.incarnation || number + WINDOW <= sender.greatest;
+        if is_old || !sender.taken.insert(number) {
+            return false;
+        }
+        sender.greatest = sender.greatest.max(number);
+        while let Some(&first) = sender.taken.first() {
+            if first + WINDOW > sender.greatest {
+                break;
+            }
+            sender.taken.pop_first();
+        }
+        true
+    }
+}
+
+impl Node {
+    /// Hands a run to the owner of its upstream, or on the way there.
+    pub(crate) fn relay_run(&mut self, now: Time, key: AttemptKey, peer: &InstanceName) -> bool {
+        // A peer that is not in the view is not known by its start count.
+        let Some(to) = self.members.incarnation(peer) else {
+            return false;
+        };
+        let number = key.id().0;
+        let Some(attempt) = self.attempts.get_mut(key) else {
+            return false;
+        };
+        let Some(SubRequest::Run { request, key, body }) = attempt.sub.take() else {
+            return false;
+        };
+        attempt.stage = Stage::Relayed(peer.clone());
+        attempt.sent = now;
+        let (upstream, left, hops) = (attempt.upstream, attempt.deadline.since(now), attempt.hops);
+        let probe = attempt.probe;
+        let service = self
+            .upstreams
+            .get(upstream)
+            .map(|u| u.declared.service.to_string());
+        self.relayed_runs.sent += 1;
+        self.stats.relayed += 1;
+        let run = RelayRun {
+            request: Bytes::copy_from_slice(&request.0.to_be_bytes()),
+            key: key.to_string(),
+            upstream: self.directory.names().name(upstream).to_string(),
+            service: service.unwrap_or_default(),
+            left_us: u64::try_from(left.as_micros()).unwrap_or(u64::MAX),
+            body,
+            attempt: number,
+            number: self.relayed_runs.sent,
+            to: to.0,
+            hops: hops + 1,
+            probe,
+        };
+        self.outbox.push_run(peer.clone(), run);
+        true
+    }
+
+    /// Takes a run that a peer relayed to this instance.
+    pub(crate) fn on_relay_run(
+        &mut self,
+        now: Time,
+        from: &InstanceName,
+        incarnation: u64,
+        run: RelayRun,
+        effects: &mut Vec<Effect>,
+    ) {
+        let is_meant = run.to == self.identity.incarnation.0;
+        if !is_meant || !self.relayed_runs.take(from, incarnation, run.number) {
+            self.stats.discarded += 1;
+            return;
+        }
+        let Some(request) = read_request(&run.request) else {
+            return self.bad_message(from, "a run without a request id", effects);
+        };
+        let number = run.attempt;
+        let Some(attempt) = self.peers_attempt(now, from, request, run) else {
+            let unrouted = refusal(number, ResultCode::Unrouted);
+            return self.reply_to(from, of_run(unrouted, request));
+        };
+        let deadline = attempt.deadline;
+        self.stats.served_for_peers += 1;
+        let (key, dispatched) = self.route(now, attempt, effects);
+        match dispatched {
+            Dispatched::Accepted => {
+                self.relayed_in.insert((from.clone(), number), key);
+                self.timers.set(deadline, Timer::Relayed(key));
+            }
+            Dispatched::Rejected(ended) => self.queued_ended(now, key, ended, effects),
+        }
+    }
+
+    fn peers_attempt(
+        &self,
+        now: Time,
+        from: &InstanceName,
+        request: RequestId,
+        run: RelayRun,
+    ) -> Option<Attempt> {
+        let name = run.upstream.parse().ok()?;
+        let upstream = self.directory.names().get(&name)?;
+        let service = run.service.parse().ok()?;
+        Some(Attempt {
+            origin: Origin::Peer {
+                from: from.clone(),
+                attempt: run.attempt,
+            },
+            upstream,
+            started: now,
+            sent: now,
+            deadline: now + Duration::from_micros(run.left_us),
+            stage: Stage::Queued,
+            fingerprint: fingerprint(&service, &run.body),
+            probe: run.probe,
+            hops: run.hops,
+            run: Some(request),
+            sub: Some(SubRequest::Run {
+                request,
+                key: run.key.parse().ok()?,
+                body: run.body,
+            }),
+        })
+    }
+
+    /// Drops a peer's request that has waited for a slot up to its deadline.
+    pub(crate) fn relayed_deadline(
+        &mut self,
+        now: Time,
+        key: AttemptKey,
+        effects: &mut Vec<Effect>,
+    ) {
+        let queued = |a: &Attempt| a.stage == Stage::Queued;
+        if self.attempts.get(key).is_some_and(queued) {
+            self.queued_ended(now, key, Ended::NotSent, effects);
+        }
+    }
+}
+
+/// Names the request that a result is of.
+pub(crate) fn of_run(result: wire::RelayResult, request: RequestId) -> wire::RelayResult {
+    wire::RelayResult {
+        run: Bytes::copy_from_slice(&request.0.to_be_bytes()),
+        ..result
+    }
+}
--- a/crates/node/src/replies.rs
+++ b/crates/node/src/replies.rs
@@ -55,7 +55,7 @@
                 self.on_search_event(now, key, attempt, (query, part), event, effects);
             }
             Origin::Peer { .. } => self.relay_result(attempt, event),
-            Origin::Run { .. } => self.on_run_event(now, attempt, event, effects),
+            Origin::Run { request } => self.on_run_event(now, *request, attempt, event, effects),
         }
     }
 
@@ -155,7 +155,9 @@
                 self.part_failed(now, query, part, key, ended, effects);
             }
             Origin::Peer { .. } => self.relay_refused(&attempt, ended),
-            Origin::Run { .. } => self.run_not_sent(now, &attempt, effects),
+            Origin::Run { request } => {
+                self.run_queued_ended(now, request, &attempt, ended, effects);
+            }
         }
     }
 
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,21 +1,466 @@
-//! Requests that must run at most once.
+//! Requests that must run at most once: from arrival to claim, dispatch and answer.
+//!
+//! A run is sent only while its own claim is on record and its deadline has not come. What is not
+//! sent yet can be withdrawn and is refused as not run; what is sent, or handed to the owner of the
+//! upstream, is never sent again, and its outcome goes on record.
 
-use base::Time;
+mod send;
 
-use crate::{attempt::Attempt, effect::Effect, event::UpstreamEvent, node::Node};
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+use base::{CallId, EntryName, IdempotencyKey, RequestId, Time};
+use bytes::Bytes;
+use cat::Class;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+use crate::{
+    attempt::{AttemptKey, Stage},
+    claims::{Change, Claim, Record, Ruling, Source, State, Verdict},
+    directory::{EntryPlan, UpstreamId},
+    effect::{Answer, Effect, Reason, Refusal},
+    node::{Node, Timer},
+    quarantine::fingerprint,
+    store::Cx,
+};
+
+/// Wait that is suggested when an outcome is not known.
+const UNKNOWN_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Wait that is suggested when a run was not sent for a reason that passes.
+const NOT_SENT_RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// Wait that is suggested when the platform takes no claims.
+const PLATFORM_RETRY_AFTER: Duration = Duration::from_secs(2);
+
+/// Wait that is suggested when a bucket has no room.
+const FULL_RETRY_AFTER: Duration = Duration::from_secs(30);
+
+/// How long after its deadline a run still waits for the owner of its upstream.
+const LATE_RESULT_WAIT: Duration = Duration::from_secs(2);
+
+/// A run as it arrives from a caller.
+#[derive(Clone, Debug)]
+pub(crate) struct NewRun {
+    pub(crate) request: RequestId,
+    pub(crate) entry: EntryName,
+    pub(crate) deadline: Option<Duration>,
+    pub(crate) key: IdempotencyKey,
+    pub(crate) body: Bytes,
+}
+
+/// How far a run is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunStage {
+    /// Its claim is not on record yet, as far as this instance knows.
+    Claiming,
+    /// Its claim is on record, and the attempt is queued, sent or relayed.
+    Sending(AttemptKey),
+}
+
+/// A caller that waits for an answer.
+#[derive(Clone, Debug)]
+struct Waiting {
+    call: CallId,
+    entry: Rc<EntryPlan>,
+}
+
+/// One run in hand.
+#[derive(Debug)]
+pub(crate) struct Run {
+    key: IdempotencyKey,
+    entry: Rc<EntryPlan>,
+    body: Bytes,
+    /// Digest of entry and body, which tells a repeated request from another.
+    digest: u64,
+    /// Digest of service and body, by which requests that break upstreams are known.
+    fingerprint: u64,
+    deadline: Time,
+    stage: RunStage,
+    tried: Vec<UpstreamId>,
+    waited: Duration,
+    /// Whether the caller of this very request has been answered or is gone.
+    answered: bool,
+}
+
+/// Runs in hand, and the callers that wait for them.
+#[derive(Debug, Default)]
+pub(crate) struct Runs {
+    runs: BTreeMap<RequestId, Run>,
+    /// The run in hand that holds a key or wants it.
+    holders: HashMap<IdempotencyKey, RequestId>,
+    /// Callers by request; those of repeated requests wait for the holder of the key.
+    waiting: BTreeMap<RequestId, Waiting>,
+    /// Requests that wait for another request with their key.
+    repeats: BTreeMap<RequestId, Vec<RequestId>>,
+    calls: HashMap<CallId, RequestId>,
+}
+
+impl Runs {
+    /// Returns whether no run is in hand and no caller waits.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.runs.is_empty() && self.waiting.is_empty()
+    }
+}
 
 impl Node {
-    pub(crate) fn on_run_event(
+    /// Admits a run and asks for its claim, or refuses it.
+    pub(crate) fn run(&mut self, now: Time, call: CallId, new: NewRun, effects: &mut Vec<Effect>) {
+        let request = new.request;
+        match self.plan_run(now, &new) {
+            Ok(run) => self.start_run(now, call, request, run, effects),
+            Err(refusal) => effects.push(Effect::Answer(call, Answer::Refused(refusal))),
+        }
+    }
+
+    fn plan_run(&mut self, now: Time, new: &NewRun) -> Result<Run, Refusal> {
+        self.check_serving()?;
+        let Some(entry) = self.directory.entry(&new.entry).cloned() else {
+            return refuse(Reason::NoEntry, None);
+        };
+        let limits = &entry.entry.limits;
+        if entry.entry.class != Class::Once {
+            return refuse(Reason::WrongClass, None);
+        }
+        if new.body.len() as u64 > limits.body.0 {
+            return refuse(Reason::BodySize, None);
+        }
+        let fingerprint = fingerprint(&entry.service.name, &new.body);
+        if let Some(left) = self.quarantine.remaining(now, fingerprint) {
+            return refuse(Reason::Quarantined, Some(left));
+        }
+        let allowed = new.deadline.unwrap_or(limits.deadline).min(limits.deadline);
+        if allowed.is_zero() {
+            return refuse(Reason::DeadlinePassed, None);
+        }
+        let digest = digest(&new.entry, &new.body);
+        let holder = self.runs.holders.get(&new.key);
+        let holder = holder.and_then(|request| self.runs.runs.get(request));
+        if holder.is_some_and(|run| run.digest != digest) {
+            return refuse(Reason::KeyReused, None);
+        }
+        self.admission
+            .admit(now, &entry.entry.name, &entry.service.name)?;
+        Ok(Run {
+            key: new.key.clone(),
+            body: new.body.clone(),
+            digest,
+            fingerprint,
+            deadline: now + allowed,
+            stage: RunStage::Claiming,
+            tried: Vec::new(),
+            waited: Duration::ZERO,
+            answered: false,
+            entry,
+        })
+    }
+
+    fn start_run(
+        &mut self,
+        now: Time,
+        call: CallId,
+        request: RequestId,
+        run: Run,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.stats.runs += 1;
+        let entry = Rc::clone(&run.entry);
+        self.runs.calls.insert(call, request);
+        self.runs.waiting.insert(request, Waiting { call, entry });
+        self.timers.set(run.deadline, Timer::Run(request));
+        if let Some(&holder) = self.runs.holders.get(&run.key) {
+            self.runs.repeats.entry(holder).or_default().push(request);
+            return;
+        }
+        let claim = Claim {
+            request,
+            key: run.key.clone(),
+            digest: run.digest,
+        };
+        self.runs.holders.insert(run.key.clone(), request);
+        self.runs.runs.insert(request, run);
+        if !self.claims.submit(now, Change::Claim(claim, Source::Own)) {
+            self.refuse_run(now, request, Reason::Overload, effects);
+        }
+    }
+
+    /// Starts the platform calls that are due for claims.
+    pub(crate) fn poll_claims(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        let mut cx = Cx {
+            now,
+            ops: &mut self.ops,
+            effects,
+        };
+        let rulings = self.claims.poll(&mut cx);
+        self.take_rulings(now, rulings, effects);
+    }
+
+    /// Takes verdicts on claims.
+    pub(crate) fn take_rulings(
+        &mut self,
+        now: Time,
+        rulings: Vec<Ruling>,
+        effects: &mut Vec<Effect>,
+    ) {
+        for ruling in rulings {
+            if ruling.source == Source::Own {
+                self.take_verdict(now, ruling.claim.request, ruling.verdict, effects);
+            }
+        }
+    }
+
+    fn take_verdict(
         &mut self,
         now: Time,
-        attempt: &Attempt,
-        event: UpstreamEvent,
+        request: RequestId,
+        verdict: Verdict,
         effects: &mut Vec<Effect>,
     ) {
-        let _ = (now, attempt, event, effects);
+        let Some(run) = self.runs.runs.get(&request) else {
+            return;
+        };
+        if run.stage != RunStage::Claiming {
+            return;
+        }
+        match verdict {
+            Verdict::Claimed => self.claimed(now, request, effects),
+            Verdict::Held(record) => {
+                let answer = repeated(run.digest, record);
+                self.end_run(now, request, &answer, effects);
+            }
+            Verdict::Expired => self.end_run(now, request, &Answer::Expired, effects),
+            Verdict::Full => self.refuse_run(now, request, Reason::ClaimsFull, effects),
+            Verdict::Refused => {
+                self.refuse_run(now, request, Reason::PlatformUnavailable, effects);
+            }
+        }
     }
 
-    pub(crate) fn run_not_sent(&mut self, now: Time, attempt: &Attempt, effects: &mut Vec<Effect>) {
-        let _ = (now, attempt, effects);
+    /// Sends a run whose claim is on record, if it is still wanted.
+    fn claimed(&mut self, now: Time, request: RequestId, effects: &mut Vec<Effect>) {
+        let Some(run) = self.runs.runs.get(&request) else {
+            return;
+        };
+        // The instance may have stood still since the write.
+        if now >= run.deadline {
+            self.release_claim(now, request);
+            return self.refuse_run(now, request, Reason::DeadlinePassed, effects);
+        }
+        self.send_run(now, request, Reason::NoUpstream, effects);
     }
+
+    /// Takes the claim of a run that was never sent off the record.
+    fn release_claim(&mut self, now: Time, request: RequestId) {
+        let Some(run) = self.runs.runs.get(&request) else {
+            return;
+        };
+        let key = run.key.clone();
+        self.claims.submit(now, Change::Release { request, key });
+    }
+
+    /// Puts on record what became of a run that was sent.
+    fn settle_run(&mut self, now: Time, request: RequestId, state: State) {
+        let Some(run) = self.runs.runs.get(&request) else {
+            return;
+        };
+        let key = run.key.clone();
+        self.claims.submit(
+            now,
+            Change::Settle {
+                request,
+                key,
+                state,
+            },
+        );
+    }
+
+    /// Ends a run that was not sent and never will be.
+    fn refuse_run(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        reason: Reason,
+        effects: &mut Vec<Effect>,
+    ) {
+        let wait = match reason {
+            Reason::PlatformUnavailable => PLATFORM_RETRY_AFTER,
+            Reason::ClaimsFull => FULL_RETRY_AFTER,
+            _ => NOT_SENT_RETRY_AFTER,
+        };
+        let refusal = Refusal {
+            reason,
+            retry_after: Some(wait),
+        };
+        self.end_run(now, request, &Answer::Refused(refusal), effects);
+    }
+
+    /// Ends a run; its caller and those of repeated requests get the answer.
+    fn end_run(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        answer: &Answer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(run) = self.runs.runs.remove(&request) else {
+            return;
+        };
+        self.runs.holders.remove(&run.key);
+        self.answer_run(now, request, run.waited, answer.clone(), effects);
+        let repeats = self.runs.repeats.remove(&request).unwrap_or_default();
+        for repeat in repeats {
+            let answer = match answer.clone() {
+                Answer::Done {
+                    request, outcome, ..
+                } => Answer::Done {
+                    request,
+                    outcome,
+                    repeated: true,
+                },
+                other => other,
+            };
+            self.answer_run(now, repeat, run.waited, answer, effects);
+        }
+    }
+
+    /// Answers one caller, if it still waits.
+    fn answer_run(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        waited: Duration,
+        answer: Answer,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(call) = self.forget_caller(now, request, waited) else {
+            return;
+        };
+        effects.push(Effect::Answer(call, answer));
+    }
+
+    fn forget_caller(&mut self, now: Time, request: RequestId, waited: Duration) -> Option<CallId> {
+        let waiting = self.runs.waiting.remove(&request)?;
+        self.runs.calls.remove(&waiting.call);
+        let entry = &waiting.entry;
+        self.admission
+            .ended(now, &entry.entry.name, &entry.service.name, waited);
+        Some(waiting.call)
+    }
+
+    /// Decides at the deadline of a request what its caller is told.
+    pub(crate) fn run_deadline(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(run) = self.runs.runs.get(&request) else {
+            // The request waits for another with its key, or has been answered.
+            return self.answer_run(now, request, Duration::ZERO, unknown(), effects);
+        };
+        let key = run.key.clone();
+        match run.stage {
+            RunStage::Claiming => {
+                self.claims.withdraw(now, &key, request);
+                self.refuse_run(now, request, Reason::PlatformUnavailable, effects);
+            }
+            RunStage::Sending(attempt) => self.sending_deadline(now, request, attempt, effects),
+        }
+    }
+
+    fn sending_deadline(
+        &mut self,
+        now: Time,
+        request: RequestId,
+        attempt: AttemptKey,
+        effects: &mut Vec<Effect>,
+    ) {
+        let stage = self.attempts.get(attempt).map(|a| a.stage.clone());
+        if stage == Some(Stage::Queued) {
+            self.cancel(now, attempt, effects);
+            self.release_claim(now, request);
+            return self.refuse_run(now, request, Reason::DeadlinePassed, effects);
+        }
+        let Some(run) = self.runs.runs.get_mut(&request) else {
+            return;
+        };
+        if run.answered {
+            // The owner of the upstream has not told the result, and need not any more.
+            if matches!(stage, Some(Stage::Relayed(_))) {
+                self.attempts.remove(attempt);
+                self.end_run(now, request, &unknown(), effects);
+            }
+            return;
+        }
+        run.answered = true;
+        self.settle_run(now, request, State::Unknown);
+        self.answer_run(now, request, Duration::ZERO, unknown(), effects);
+        self.timers.set(now + LATE_RESULT_WAIT, Timer::Run(request));
+    }
+
+    /// Notes that a caller is gone; a run that was not sent and that nobody waits for ends.
+    pub(crate) fn drop_run_call(&mut self, now: Time, call: CallId, effects: &mut Vec<Effect>) {
+        let Some(&request) = self.runs.calls.get(&call) else {
+            return;
+        };
+        self.forget_caller(now, request, Duration::ZERO);
+        let repeats = self.runs.repeats.get(&request);
+        let wanted = repeats
+            .is_some_and(|repeats| repeats.iter().any(|r| self.runs.waiting.contains_key(r)));
+        let Some(run) = self.runs.runs.get(&request).filter(|_| !wanted) else {
+            return;
+        };
+        let key = run.key.clone();
+        match run.stage {
+            RunStage::Claiming => self.claims.withdraw(now, &key, request),
+            RunStage::Sending(attempt) => {
+                let stage = self.attempts.get(attempt).map(|a| a.stage.clone());
+                if stage != Some(Stage::Queued) {
+                    return;
+                }
+                self.cancel(now, attempt, effects);
+                self.release_claim(now, request);
+            }
+        }
+        self.refuse_run(now, request, Reason::DeadlinePassed, effects);
+    }
+}
+
+fn refuse<T>(reason: Reason, retry_after: Option<Duration>) -> Result<T, Refusal> {
+    Err(Refusal {
+        reason,
+        retry_after,
+    })
+}
+
+fn unknown() -> Answer {
+    Answer::Unknown {
+        retry_after: UNKNOWN_RETRY_AFTER,
+    }
+}
+
+/// Returns the answer to a request whose key another request holds.
+fn repeated(digest: u64, record: Record) -> Answer {
+    if record.digest != digest {
+        return Answer::Refused(Refusal {
+            reason: Reason::KeyReused,
+            retry_after: None,
+        });
+    }
+    match record.state {
+        State::Done(outcome) => Answer::Done {
+            request: record.request,
+            outcome: outcome.unwrap_or_else(|| Bytes::from_static(b"null")),
+            repeated: true,
+        },
+        State::Claimed | State::Unknown => unknown(),
+    }
+}
+
+/// Returns the digest that tells a repeated request from another with the same key.
+fn digest(entry: &EntryName, body: &[u8]) -> u64 {
+    xxh3_64_with_seed(body, xxh3_64(entry.as_str().as_bytes()))
 }
--- a/crates/node/src/search.rs
+++ b/crates/node/src/search.rs
@@ -278,6 +278,7 @@
             fingerprint: query.fingerprint,
             probe,
             hops: 0,
+            run: None,
             sub: Some(SubRequest::Search {
                 echo,
                 limit,
--- a/crates/node/src/store/sync.rs
+++ b/crates/node/src/store/sync.rs
@@ -29,7 +29,8 @@
 }
 
 impl Cx<'_> {
-    fn platform(&mut self, op: PlatformOp) -> OpId {
+    /// Starts a call to the platform.
+    pub(crate) fn platform(&mut self, op: PlatformOp) -> OpId {
         *self.ops = self.ops.next();
         self.effects.push(Effect::Platform(*self.ops, op));
         *self.ops
--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+mod claims;
 mod members;
 mod search;
 mod store;
--- a/crates/peer/src/queue.rs
+++ b/crates/peer/src/queue.rs
@@ -97,5 +97,6 @@
         Body::Claimed(m) => m.encoded_len(),
         Body::Handover(m) => m.encoded_len(),
         Body::Released(m) => m.encoded_len(),
+        Body::RelayRun(m) => m.encoded_len(),
     }
 }
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -43,7 +43,7 @@
         /// The upstream.
         upstream: UpstreamName,
     },
-    /// An upstream carried out a request of the once class.
+    /// An upstream began to carry out a request of the once class.
     Ran {
         /// The request.
         request: RequestId,
@@ -216,6 +216,11 @@
                 }
             }
             Answer::Unknown { .. } => {}
+            Answer::Expired => {
+                if self.ran.contains(&request) {
+                    self.violations.insert(Violation::RanAfterRefusal(request));
+                }
+            }
         }
     }
 
--- a/crates/rig/src/sim/platform.rs
+++ b/crates/rig/src/sim/platform.rs
@@ -46,6 +46,12 @@
         self.objects.insert((kind, name.into()), object);
     }
 
+    /// Returns an object.
+    pub(super) fn object(&self, kind: Kind, name: &str) -> Option<Bytes> {
+        let object = self.objects.get(&(kind, name.into()))?;
+        Some(object.value.clone())
+    }
+
     /// Takes one call; a watch without news answers later.
     pub(super) fn call(
         &mut self,
--- a/crates/rig/src/sim/upstream.rs
+++ b/crates/rig/src/sim/upstream.rs
@@ -22,6 +22,10 @@
     pub service_time: Duration,
     /// One sub-request in this many takes ten times as long; 0 for none.
     pub slow_one_in: u64,
+    /// One run in this many is refused as overload; 0 for none.
+    pub refuse_one_in: u64,
+    /// One run in this many is answered with another request's identity; 0 for none.
+    pub mix_up_one_in: u64,
     /// Snapshots that are served.
     pub snapshots: BTreeSet<SnapshotId>,
 }
@@ -31,6 +35,8 @@
         Self {
             service_time: Duration::from_millis(5),
             slow_one_in: 0,
+            refuse_one_in: 0,
+            mix_up_one_in: 0,
             snapshots: BTreeSet::from([SnapshotId(1)]),
         }
     }
@@ -92,7 +98,7 @@
     }
 
     /// Returns the event of finished work.
-    pub(super) fn outcome(&self, sub: &SubRequest) -> UpstreamEvent {
+    pub(super) fn outcome(&self, sub: &SubRequest, mixed_up: bool) -> UpstreamEvent {
         let draining = self.leaving.is_some();
         match sub {
             SubRequest::Search { echo, .. } if !self.plan.snapshots.contains(&echo.snapshot) => {
@@ -110,11 +116,15 @@
                     draining,
                 })
             }
-            SubRequest::Run { request, .. } => UpstreamEvent::Ran {
-                request: *request,
-                outcome: outcome_of(*request),
-                draining,
-            },
+            SubRequest::Run { request, .. } => {
+                let told = if mixed_up { request.0 + 1 } else { request.0 };
+                let request = RequestId(told);
+                UpstreamEvent::Ran {
+                    request,
+                    outcome: outcome_of(request),
+                    draining,
+                }
+            }
         }
     }
 }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -13,7 +13,7 @@
     #[prost(uint64, tag = "2")]
     pub incarnation: u64,
     /// What is said.
-    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13")]
     pub body: Option<Body>,
 }
 
@@ -47,12 +47,12 @@
     /// Request to hand over upstreams.
     #[prost(message, tag = "11")]
     Handover(Handover),
-    ///
-    /// A probe asks for an answer, which is a heartbeat too. Sender's data centre and address are left
-    /// out once the receiver knows them.
     /// Upstreams to which the sender sends nothing more.
     #[prost(message, tag = "12")]
     Released(Released),
+    /// A request of the once class for an upstream that the receiver owns.
+    #[prost(message, tag = "13")]
+    RelayRun(RelayRun),
 }
 
 /// Request to hand over upstreams that are assigned to the sender now.
@@ -251,6 +251,46 @@
     pub echo: u64,
 }
 
+/// A request of the once class for an upstream that the receiver owns.
+///
+/// The receiver sends it at most once and ignores a message that it has seen before.
+#[derive(Clone, PartialEq, Message)]
+pub struct RelayRun {
+    /// Identity of the caller's request, big-endian.
+    #[prost(bytes = "bytes", tag = "1")]
+    pub request: Bytes,
+    /// Key that the caller gave.
+    #[prost(string, tag = "2")]
+    pub key: String,
+    /// Upstream to ask.
+    #[prost(string, tag = "3")]
+    pub upstream: String,
+    /// Service of the upstream.
+    #[prost(string, tag = "4")]
+    pub service: String,
+    /// Time left until the request's deadline, in microseconds.
+    #[prost(uint64, tag = "5")]
+    pub left_us: u64,
+    /// Body of the request.
+    #[prost(bytes = "bytes", tag = "6")]
+    pub body: Bytes,
+    /// Attempt id of the sender.
+    #[prost(uint64, tag = "7")]
+    pub attempt: u64,
+    /// Count of the runs that the sender has relayed since its start; tells duplicates.
+    #[prost(uint64, tag = "8")]
+    pub number: u64,
+    /// Start count of the receiver that is meant.
+    #[prost(uint64, tag = "9")]
+    pub to: u64,
+    /// Times that the request was relayed before.
+    #[prost(uint32, tag = "10")]
+    pub hops: u32,
+    /// Whether the request may break upstreams.
+    #[prost(bool, tag = "11")]
+    pub probe: bool,
+}
+
 /// Results of relayed sub-requests.
 #[derive(Clone, PartialEq, Message)]
 pub struct Relayed {
@@ -292,6 +332,12 @@
     /// Whether the upstream takes no new work.
     #[prost(bool, tag = "10")]
     pub draining: bool,
+    /// Outcome of a request of the once class.
+    #[prost(bytes = "bytes", tag = "11")]
+    pub outcome: Bytes,
+    /// Request of the once class that the result is of; empty for a search.
+    #[prost(bytes = "bytes", tag = "12")]
+    pub run: Bytes,
 }
 
 /// How a relayed sub-request ended.
@@ -316,6 +362,8 @@
     Invalid = 7,
     /// The receiver does not send to the upstream; no byte was sent.
     Unrouted = 8,
+    /// The upstream carried out a request of the once class.
+    Ran = 9,
 }
 
 /// One hit.
