node: end peers' requests at their deadline when nobody cancels them

Cause: a sub-request that a peer relayed here was dropped from its upstream's queue at its deadline, but its attempt stayed until the peer cancelled it. With the peer gone it stayed for ever, and a graceful shutdown, which waits for all attempts, never ended. Ruled out: the probe's waiting list, which skips ended attempts, and the handover of upstreams, which ends after two seconds.

--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -14,7 +14,7 @@
     dispatch::Dispatched,
     effect::Effect,
     event::{Failure, Reply, UpstreamEvent},
-    node::Node,
+    node::{Node, Timer},
     protocol::{Echo, Hit, SubRequest},
     quarantine::fingerprint,
     relay_run::of_run,
@@ -171,6 +171,7 @@
             match dispatched {
                 Dispatched::Accepted => {
                     self.relayed_in.insert((from.clone(), part.attempt), key);
+                    self.timers.set(deadline, Timer::Relayed(key));
                 }
                 Dispatched::Rejected(ended) => self.queued_ended(now, key, ended, effects),
             }
--- a/crates/node/src/relay_run.rs
+++ b/crates/node/src/relay_run.rs
@@ -174,17 +174,20 @@
         })
     }
 
-    /// Drops a peer's request that has waited for a slot up to its deadline.
+    /// Drops a peer's request that still waits here, or for the result of another instance, at its
+    /// deadline; the peer may be gone and cancel nothing.
     pub(crate) fn relayed_deadline(
         &mut self,
         now: Time,
         key: AttemptKey,
         effects: &mut Vec<Effect>,
     ) {
-        let queued = |a: &Attempt| a.stage == Stage::Queued;
-        if self.attempts.get(key).is_some_and(queued) {
-            self.queued_ended(now, key, Ended::NotSent, effects);
-        }
+        let ended = match self.attempts.get(key).map(|a| &a.stage) {
+            Some(Stage::Queued) => Ended::NotSent,
+            Some(Stage::Relayed(_)) => Ended::Invalid,
+            Some(Stage::Sent | Stage::Cancelled) | None => return,
+        };
+        self.queued_ended(now, key, ended, effects);
     }
 }
 
--- a/crates/node/tests/search.rs
+++ b/crates/node/tests/search.rs
@@ -150,3 +150,26 @@
         "{hedges} hedges of {first} first attempts"
     );
 }
+
+#[test]
+fn shutdown_ends_after_a_peer_with_waiting_work_crashed() {
+    let mut scene = Scene {
+        instances: 2,
+        slots: 1,
+        ..Scene::default()
+    };
+    scene.upstream.service_time = Duration::from_millis(30);
+    let mut world = scene.world();
+    for _ in 0..3 {
+        let body = Bytes::from_static(b"harp");
+        world.search(1, &Scene::entry(Class::Latency), &body);
+    }
+    let crash = Fault::Crash {
+        instance: 1,
+        restart: Duration::from_millis(100),
+    };
+    world.fault_in(Duration::from_millis(60), crash);
+    world.fault_in(Duration::from_millis(40), Fault::Drain { instance: 0 });
+    world.advance(Duration::from_secs(15));
+    assert!(world.node(0).is_none(), "the shutdown has not ended");
+}
