node: check generated histories under faults; rig: a test for each kind of violation

The simulated world learns late and repeated messages, callers that hang up, upstreams that refuse or answer with another request's identity, several data centres, and the platform's list of leaving upstreams. The checker learns requests that are never answered and shutdowns that never end.

--- /dev/null
+++ b/crates/node/tests/history.rs
@@ -0,0 +1,326 @@
+//! Histories of instances under faults in pairs and twice, checked for everything that must hold.
+//!
+//! A failure prints its seed: `BRIARCOVE_SEED=<seed> cargo test -p node --test main histories`
+//! repeats that history. `BRIARCOVE_HISTORIES=<count>` checks more than the fixed set.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use bytes::Bytes;
+use cat::Class;
+use quickcheck::{Arbitrary, Gen};
+use rig::{
+    history::{Seen, Violation},
+    sim::{Fault, Scene, UpstreamPlan, World},
+};
+
+/// Histories of the fixed set.
+const HISTORIES: u64 = 300;
+
+/// Threads that work on histories.
+const THREADS: u64 = 4;
+
+/// Size of generated histories.
+const SIZE: usize = 12;
+
+/// Time after the last step at which everything must have ended.
+const AFTERMATH: Duration = Duration::from_secs(15);
+
+/// One step of a history, at a time in microseconds.
+#[derive(Clone, Debug)]
+struct Step {
+    at: u64,
+    what: What,
+}
+
+#[derive(Clone, Debug)]
+enum What {
+    Search(usize, Class),
+    Run {
+        instance: usize,
+        key: u64,
+        body: &'static [u8],
+        /// Time after which the caller hangs up, in microseconds.
+        hangs_up: Option<u64>,
+    },
+    Fault(Fault),
+}
+
+/// A generated history: a scene, requests and faults.
+#[derive(Clone, Debug)]
+struct Story {
+    scene: Scene,
+    steps: Vec<Step>,
+}
+
+fn below(g: &mut Gen, limit: u64) -> u64 {
+    u64::arbitrary(g) % limit.max(1)
+}
+
+fn index(g: &mut Gen, limit: usize) -> usize {
+    usize::arbitrary(g) % limit.max(1)
+}
+
+fn one_in(g: &mut Gen, n: u64) -> bool {
+    below(g, n) == 0
+}
+
+/// Draws a duration that is short, around the timeouts, or longer than every timeout.
+fn span(g: &mut Gen) -> Duration {
+    let millis = match below(g, 4) {
+        0 => below(g, 20),
+        1 => 20 + below(g, 300),
+        2 => 300 + below(g, 1_200),
+        _ => 1_500 + below(g, 2_500),
+    };
+    Duration::from_millis(millis)
+}
+
+fn fault(g: &mut Gen, scene: &Scene) -> Fault {
+    let instance = index(g, scene.instances);
+    let other = (instance + 1 + index(g, scene.instances - 1)) % scene.instances;
+    let upstream = index(g, scene.upstreams);
+    match below(g, 16) {
+        0 | 1 => Fault::Crash {
+            instance,
+            restart: Duration::from_millis(100) + span(g),
+        },
+        2..=4 => Fault::Pause {
+            instance,
+            length: span(g),
+        },
+        5 | 6 => Fault::LoseReplies {
+            count: 1 + u32::from(bool::arbitrary(g)),
+        },
+        7 | 8 => Fault::DelayWrites {
+            count: 1 + u32::from(bool::arbitrary(g)),
+            delay: span(g),
+        },
+        9 => Fault::PlatformDown { length: span(g) },
+        10 => Fault::Cut {
+            a: instance,
+            b: other,
+            length: span(g),
+        },
+        11 => Fault::Late {
+            a: instance,
+            b: other,
+            delay: span(g),
+            length: span(g),
+        },
+        12 => Fault::RepeatRuns {
+            count: 1 + u32::from(bool::arbitrary(g)),
+            delay: span(g),
+        },
+        13 => Fault::BreakUpstream { upstream },
+        14 => Fault::Leave { upstream },
+        _ => Fault::Drain { instance },
+    }
+}
+
+fn scene(g: &mut Gen) -> Scene {
+    let mut scene = Scene {
+        instances: 2 + index(g, 4),
+        upstreams: 2 + index(g, 4),
+        data_centres: 1 + usize::from(one_in(g, 3)),
+        shards: 4,
+        slots: 1 + u32::from(bool::arbitrary(g)) * 3,
+        seed: u64::arbitrary(g),
+        upstream: UpstreamPlan {
+            service_time: Duration::from_micros(500 + below(g, 20_000)),
+            slow_one_in: *g.choose(&[0, 2, 10]).unwrap(),
+            refuse_one_in: *g.choose(&[0, 0, 2, 5]).unwrap(),
+            mix_up_one_in: *g.choose(&[0, 0, 0, 10]).unwrap(),
+            ..UpstreamPlan::default()
+        },
+        ..Scene::default()
+    };
+    scene.config.claims.buckets = 1 + u32::from(bool::arbitrary(g)) * 3;
+    if one_in(g, 4) {
+        scene.config.claims.bounds.bytes = 700;
+    }
+    scene
+}
+
+/// Adds a request of the once class that its caller sends again, also through other instances.
+fn runs(g: &mut Gen, scene: &Scene, at: u64, key: u64, steps: &mut Vec<Step>) {
+    let body: &'static [u8] = if one_in(g, 8) { b"crash" } else { b"book" };
+    let mut at = at + below(g, 3_000);
+    for _ in 0..=below(g, 4) {
+        let body = if one_in(g, 12) { b"other" } else { body };
+        let hangs_up = one_in(g, 8).then(|| below(g, 12_000));
+        let what = What::Run {
+            instance: index(g, scene.instances),
+            key,
+            body,
+            hangs_up,
+        };
+        steps.push(Step { at, what });
+        at += match below(g, 3) {
+            0 => below(g, 8_000),
+            1 => below(g, 200_000),
+            _ => below(g, 3_000_000),
+        };
+    }
+}
+
+impl Arbitrary for Story {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let scene = scene(g);
+        let mut steps = Vec::new();
+        let mut start = 0;
+        for episode in 0..=below(g, 3) {
+            start += below(g, 2_000_000);
+            for n in 0..=below(g, 3) {
+                runs(g, &scene, start, episode * 10 + n, &mut steps);
+            }
+            for _ in 0..below(g, 6) {
+                let class = *g.choose(&[Class::Latency, Class::Coverage]).unwrap();
+                let what = What::Search(index(g, scene.instances), class);
+                let at = start + below(g, 30_000);
+                steps.push(Step { at, what });
+            }
+            let first = fault(g, &scene);
+            // Often the same fault comes twice.
+            let second = match one_in(g, 3) {
+                true => first.clone(),
+                false => fault(g, &scene),
+            };
+            for fault in [first, second] {
+                let what = What::Fault(fault);
+                let at = start + below(g, 14_000);
+                steps.push(Step { at, what });
+            }
+            if bool::arbitrary(g) {
+                let what = What::Fault(fault(g, &scene));
+                let at = start + below(g, 1_500_000);
+                steps.push(Step { at, what });
+            }
+        }
+        steps.sort_by_key(|step| step.at);
+        Self { scene, steps }
+    }
+
+    fn shrink(&self) -> Box<dyn Iterator<Item = Self>> {
+        let story = self.clone();
+        Box::new((0..self.steps.len()).map(move |n| {
+            let mut shorter = story.clone();
+            shorter.steps.remove(n);
+            shorter
+        }))
+    }
+}
+
+impl Story {
+    fn of_seed(seed: u64) -> Self {
+        Self::arbitrary(&mut Gen::from_size_and_seed(SIZE, seed))
+    }
+
+    /// Lets the history happen and returns what it breaks.
+    fn violations(&self) -> BTreeSet<Violation> {
+        self.happen().history.check()
+    }
+
+    fn happen(&self) -> World {
+        let mut world = self.scene.world();
+        let begin = world.now();
+        let mut steps: Vec<Step> = self.steps.clone();
+        let mut hang_ups = Vec::new();
+        steps.sort_by_key(|step| step.at);
+        for step in steps {
+            let due = begin + Duration::from_micros(step.at);
+            hang_up(&mut world, &mut hang_ups, due);
+            world.advance(due.since(world.now()));
+            match step.what {
+                What::Search(instance, class) => {
+                    let body = Bytes::from_static(b"harp");
+                    world.search(instance, &Scene::entry(class), &body);
+                }
+                What::Run {
+                    instance,
+                    key,
+                    body,
+                    hangs_up,
+                } => {
+                    let key = format!("{}-k{key}", 1_764_800_000 + key * 400);
+                    let key = key.parse().unwrap();
+                    let body = Bytes::from_static(body);
+                    let request = world.run_once(instance, &Scene::entry(Class::Once), &key, &body);
+                    if let Some(after) = hangs_up {
+                        hang_ups.push((due + Duration::from_micros(after), request));
+                    }
+                }
+                What::Fault(fault) => world.fault_in(Duration::ZERO, fault),
+            }
+        }
+        hang_up(&mut world, &mut hang_ups, base::Time::NEVER);
+        world.advance(AFTERMATH);
+        let now = world.now();
+        world.history.push(now, Seen::End);
+        world
+    }
+
+    /// Drops steps as long as a violation remains.
+    fn shrunk(self) -> Self {
+        match self.shrink().find(|story| !story.violations().is_empty()) {
+            Some(shorter) => shorter.shrunk(),
+            None => self,
+        }
+    }
+}
+
+/// Lets the callers hang up whose time comes before `until`.
+fn hang_up(world: &mut World, due: &mut Vec<(base::Time, base::RequestId)>, until: base::Time) {
+    due.sort_unstable();
+    while let Some(&(at, request)) = due.first().filter(|(at, _)| *at <= until) {
+        due.remove(0);
+        world.advance(at.since(world.now()));
+        world.hang_up(request);
+    }
+}
+
+fn setting(name: &str) -> Option<u64> {
+    std::env::var(name).ok()?.parse().ok()
+}
+
+/// Returns the first seed of a share that breaks something.
+fn first_failure(seeds: impl Iterator<Item = u64>) -> Option<u64> {
+    seeds
+        .into_iter()
+        .find(|seed| !Story::of_seed(*seed).violations().is_empty())
+}
+
+#[test]
+fn histories_hold_under_faults() {
+    if let Some(seed) = setting("BRIARCOVE_SEED") {
+        return assert_holds(seed);
+    }
+    let count = setting("BRIARCOVE_HISTORIES").unwrap_or(HISTORIES);
+    let failures: Vec<u64> = std::thread::scope(|scope| {
+        let share = |n| move || first_failure((n..count).step_by(THREADS as usize));
+        let threads: Vec<_> = (0..THREADS).map(|n| scope.spawn(share(n))).collect();
+        let ends = threads.into_iter().map(|t| t.join().unwrap());
+        ends.flatten().collect()
+    });
+    if let Some(seed) = failures.into_iter().min() {
+        assert_holds(seed);
+        panic!("BRIARCOVE_SEED={seed} failed once and holds when it is repeated");
+    }
+}
+
+fn assert_holds(seed: u64) {
+    let violations = Story::of_seed(seed).violations();
+    if violations.is_empty() {
+        return;
+    }
+    let story = Story::of_seed(seed).shrunk();
+    let left = story.violations();
+    panic!("BRIARCOVE_SEED={seed}\n{violations:?}\nshrunk to {left:?}\n{story:#?}");
+}
+
+#[test]
+fn histories_repeat_from_their_seed() {
+    for seed in 0..5 {
+        let seen = || format!("{:?}", Story::of_seed(seed).happen().history.seen);
+        assert_eq!(seen(), seen(), "seed {seed}");
+    }
+}
--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 mod claims;
+mod history;
 mod members;
 mod search;
 mod store;
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -74,6 +74,13 @@
         /// The instance.
         instance: InstanceName,
     },
+    /// A caller closed its connection before the answer.
+    HungUp {
+        /// The request.
+        request: RequestId,
+    },
+    /// The record ends, long after the last request and the last fault.
+    End,
     /// An instance was killed; its callers get no answers.
     Killed {
         /// The instance.
@@ -111,6 +118,10 @@
     Reverted(InstanceName),
     /// A graceful shutdown left a request without an answer.
     CutByShutdown(RequestId),
+    /// A request at an instance that lived on got no answer.
+    Unanswered(RequestId),
+    /// A graceful shutdown did not end.
+    NeverEnded(InstanceName),
 }
 
 impl History {
@@ -138,11 +149,13 @@
     runs: BTreeMap<IdempotencyKey, Vec<RequestId>>,
     ran: BTreeSet<RequestId>,
     searched: BTreeSet<(RequestId, SnapshotId, ShardName)>,
-    open: BTreeMap<RequestId, (InstanceName, Option<IdempotencyKey>)>,
+    /// Requests without an answer, at their instances.
+    open: BTreeMap<RequestId, InstanceName>,
+    keys: BTreeMap<RequestId, IdempotencyKey>,
     answered: BTreeSet<RequestId>,
     leaving: BTreeMap<UpstreamName, Time>,
     in_force: BTreeMap<(InstanceName, u64), Revision>,
-    killed: BTreeSet<InstanceName>,
+    draining: BTreeSet<InstanceName>,
     violations: BTreeSet<Violation>,
 }
 
@@ -161,7 +174,8 @@
                 key,
                 instance,
             } => {
-                self.open.insert(*request, (instance.clone(), key.clone()));
+                self.open.insert(*request, instance.clone());
+                self.keys.extend(key.clone().map(|key| (*request, key)));
             }
             Seen::Answered { request, answer } => self.answered(*request, answer),
             Seen::Searched {
@@ -187,25 +201,31 @@
                         .insert(Violation::Reverted(instance.clone()));
                 }
             }
-            Seen::Draining { .. } => {}
+            Seen::Draining { instance } => {
+                self.draining.insert(instance.clone());
+            }
+            Seen::HungUp { request } => {
+                self.open.remove(request);
+            }
+            Seen::End => self.end(),
             Seen::Drained { instance } => self.drained(instance),
             Seen::Killed { instance } => {
-                self.open.retain(|_, (at, _)| at != instance);
-                self.killed.insert(instance.clone());
+                self.open.retain(|_, at| at != instance);
+                self.draining.remove(instance);
             }
         }
     }
 
     fn answered(&mut self, request: RequestId, answer: &Answer) {
-        let called = self.open.remove(&request);
+        self.open.remove(&request);
         if !self.answered.insert(request) {
             self.violations.insert(Violation::AnsweredTwice(request));
         }
         match answer {
             Answer::Found(found) => self.found(request, found),
             Answer::Done { request: told, .. } => {
-                let key = called.and_then(|(_, key)| key);
-                let runs = key.and_then(|key| self.runs.get(&key));
+                let key = self.keys.get(&request);
+                let runs = key.and_then(|key| self.runs.get(key));
                 if !runs.is_some_and(|runs| runs.contains(told)) {
                     self.violations.insert(Violation::NeverRan(request));
                 }
@@ -266,8 +286,16 @@
         }
     }
 
+    fn end(&mut self) {
+        let unanswered = self.open.keys().copied().map(Violation::Unanswered);
+        self.violations.extend(unanswered);
+        let draining = self.draining.iter().cloned();
+        self.violations.extend(draining.map(Violation::NeverEnded));
+    }
+
     fn drained(&mut self, instance: &InstanceName) {
-        for (request, (at, _)) in &self.open {
+        self.draining.remove(instance);
+        for (request, at) in &self.open {
             if at == instance {
                 self.violations.insert(Violation::CutByShutdown(*request));
             }
--- a/crates/rig/src/sim/scene.rs
+++ b/crates/rig/src/sim/scene.rs
@@ -23,10 +23,12 @@
 /// Size of a scene, and how its parts behave.
 #[derive(Clone, Debug)]
 pub struct Scene {
-    /// Instances, all in one data centre.
+    /// Instances, spread over the data centres.
     pub instances: usize,
-    /// Upstreams, all in the same data centre.
+    /// Upstreams, spread over the data centres like the instances.
     pub upstreams: usize,
+    /// Data centres.
+    pub data_centres: usize,
     /// Shards of the one snapshot.
     pub shards: usize,
     /// Upstreams that hold each shard.
@@ -48,6 +50,7 @@
         Self {
             instances: 1,
             upstreams: 4,
+            data_centres: 1,
             shards: 8,
             replicas: 2,
             slots: 8,
@@ -85,9 +88,10 @@
             .expect("a valid upstream name")
     }
 
-    /// Returns the one data centre.
-    pub fn data_centre() -> DataCentre {
-        "a".parse().expect("a valid data centre name")
+    /// Returns the data centre of an instance or upstream.
+    pub fn data_centre(&self, number: usize) -> DataCentre {
+        let name = ["a", "b", "c", "d"][number % self.data_centres.clamp(1, 4)];
+        name.parse().expect("a valid data centre name")
     }
 
     /// Returns the one service.
@@ -126,7 +130,7 @@
         let upstream = |n: usize| Upstream {
             name: Self::upstream_name(n),
             address: Self::address(n),
-            data_centre: Self::data_centre(),
+            data_centre: self.data_centre(n),
         };
         let service = Service {
             name: Self::service(),
@@ -193,7 +197,7 @@
             config.members.seeds = vec![World::peer_address(0), World::peer_address(1)];
         }
         Plan {
-            instances: vec![Self::data_centre(); self.instances],
+            instances: (0..self.instances).map(|n| self.data_centre(n)).collect(),
             upstreams: upstreams
                 .map(|n| {
                     (
@@ -204,6 +208,7 @@
                 })
                 .collect(),
             objects,
+            liveness: Self::service().as_str().into(),
             config,
             seed: self.seed,
         }
--- a/crates/rig/src/sim/world.rs
+++ b/crates/rig/src/sim/world.rs
@@ -62,6 +62,24 @@
         /// How long.
         length: Duration,
     },
+    /// The messages between two instances are late.
+    Late {
+        /// One of them.
+        a: usize,
+        /// The other.
+        b: usize,
+        /// How late.
+        delay: Duration,
+        /// How long this lasts.
+        length: Duration,
+    },
+    /// The next relayed runs and their results are delivered a second time.
+    RepeatRuns {
+        /// How many messages.
+        count: u32,
+        /// How long after the first time.
+        delay: Duration,
+    },
     /// The platform answers nothing.
     PlatformDown {
         /// How long.
@@ -105,6 +123,8 @@
     pub upstreams: Vec<(UpstreamName, SocketAddr, UpstreamPlan)>,
     /// Objects that the platform holds at the start.
     pub objects: Vec<(Kind, Box<str>, Bytes)>,
+    /// Service whose list of leaving upstreams the platform keeps.
+    pub liveness: Box<str>,
     /// Settings of every instance.
     pub config: Config,
     /// Seed of everything random.
@@ -118,6 +138,8 @@
     node: Option<Node>,
     life: u64,
     paused_until: Time,
+    /// Events that arrived during a pause.
+    held: Vec<Event>,
     wake: Time,
     draining: bool,
 }
@@ -139,6 +161,8 @@
     Finished(SocketAddr, u64),
     WatchesEnd,
     Restart(usize),
+    /// The pause of an instance ends, in one of its lives.
+    Resume(usize, u64),
     Fault(Fault),
 }
 
@@ -155,6 +179,9 @@
     platform_down_until: Time,
     lose_replies: u32,
     delay_writes: (u32, Duration),
+    repeat_runs: (u32, Duration),
+    /// Name of the object that lists the leaving upstreams.
+    liveness: Box<str>,
     network: Network,
     config: Config,
     calls: u64,
@@ -189,6 +216,8 @@
             platform_down_until: Time::ZERO,
             lose_replies: 0,
             delay_writes: (0, Duration::ZERO),
+            repeat_runs: (0, Duration::ZERO),
+            liveness: plan.liveness,
             network: Network::default(),
             config: plan.config,
             calls: 0,
@@ -208,6 +237,7 @@
                 node: None,
                 life: 0,
                 paused_until: Time::ZERO,
+                held: Vec::new(),
                 wake: Time::NEVER,
                 draining: false,
             });
@@ -285,6 +315,28 @@
         request
     }
 
+    /// Closes a caller's connection before its answer.
+    pub fn hang_up(&mut self, request: RequestId) {
+        let mut calls = self.requests.iter().filter(|(_, r)| **r == request);
+        let Some((&(instance, call), _)) = calls.next() else {
+            return;
+        };
+        if self.answers.contains_key(&request) {
+            return;
+        }
+        self.history.push(self.now, Seen::HungUp { request });
+        let life = self.instances[instance].life;
+        let event = Event::CallerGone(call);
+        self.later(
+            self.now,
+            Happening::Event {
+                instance,
+                life,
+                event,
+            },
+        );
+    }
+
     fn next_request(&mut self) -> RequestId {
         self.calls += 1;
         RequestId(u128::from(self.calls))
@@ -390,6 +442,7 @@
             Happening::Finished(address, number) => self.finished(address, number),
             Happening::WatchesEnd => self.answer_watches(),
             Happening::Restart(instance) => self.start(instance),
+            Happening::Resume(instance, life) => self.resume(instance, life),
             Happening::Fault(fault) => self.break_something(fault),
         }
     }
@@ -399,6 +452,7 @@
         instance.life += 1;
         instance.draining = false;
         instance.paused_until = Time::ZERO;
+        instance.held.clear();
         let identity = Identity {
             instance: instance.name.clone(),
             data_centre: instance.data_centre.clone(),
@@ -423,17 +477,34 @@
         if instance.life != life || instance.node.is_none() {
             return;
         }
+        if instance.paused_until > self.now || !instance.held.is_empty() {
+            let at = instance.paused_until;
+            instance.held.push(event);
+            if instance.held.len() == 1 {
+                self.later(at, Happening::Resume(index, life));
+            }
+            return;
+        }
+        self.hand_over(index, life, event);
+    }
+
+    /// Delivers what was held during a pause, in the order of its arrival.
+    fn resume(&mut self, index: usize, life: u64) {
+        let instance = &mut self.instances[index];
+        if instance.life != life {
+            return;
+        }
         if instance.paused_until > self.now {
             let at = instance.paused_until;
-            return self.later(
-                at,
-                Happening::Event {
-                    instance: index,
-                    life,
-                    event,
-                },
-            );
+            return self.later(at, Happening::Resume(index, life));
+        }
+        for event in std::mem::take(&mut instance.held) {
+            self.hand_over(index, life, event);
         }
+    }
+
+    fn hand_over(&mut self, index: usize, life: u64, event: Event) {
+        let instance = &mut self.instances[index];
         if let Event::Tick = event {
             instance.wake = Time::NEVER;
         }
@@ -549,8 +620,19 @@
             return;
         }
         let life = self.instances[target].life;
-        let at = self.now + HOP + self.jitter();
+        let lateness = self.network.lateness(self.now, from, target);
+        let at = self.now + HOP + self.jitter() + lateness;
+        let is_run = matches!(envelope.body, Some(Body::RelayRun(_) | Body::Relayed(_)));
         let event = Event::Peer(envelope);
+        if is_run && self.repeat_runs.0 > 0 {
+            self.repeat_runs.0 -= 1;
+            let again = Happening::Event {
+                instance: target,
+                life,
+                event: event.clone(),
+            };
+            self.later(at + self.repeat_runs.1, again);
+        }
         self.later(
             at,
             Happening::Event {
@@ -755,6 +837,13 @@
                 paused.paused_until = paused.paused_until.max(self.now + length);
             }
             Fault::Cut { a, b, length } => self.network.cut(a, b, self.now + length),
+            Fault::Late {
+                a,
+                b,
+                delay,
+                length,
+            } => self.network.delay(a, b, delay, self.now + length),
+            Fault::RepeatRuns { count, delay } => self.repeat_runs = (count, delay),
             Fault::PlatformDown { length } => {
                 self.platform_down_until = self.platform_down_until.max(self.now + length);
                 for answer in self.platform.fail_watches() {
@@ -785,12 +874,26 @@
         self.later(self.now + restart, Happening::Restart(index));
     }
 
+    /// Lets an upstream leave; the platform lists it once it is up.
     fn leave(&mut self, index: usize) {
-        if let Some(upstream) = self.upstreams.values_mut().nth(index) {
-            upstream.leaving.get_or_insert(self.now);
-            let upstream = upstream.name.clone();
-            self.history.push(self.now, Seen::Leaving { upstream });
+        let Some(upstream) = self.upstreams.values_mut().nth(index) else {
+            return;
+        };
+        upstream.leaving.get_or_insert(self.now);
+        let name = upstream.name.clone();
+        if self.platform_down_until > self.now {
+            let again = Happening::Fault(Fault::Leave { upstream: index });
+            return self.later(self.platform_down_until, again);
         }
+        self.history
+            .push(self.now, Seen::Leaving { upstream: name });
+        let leaving = self.upstreams.values().filter(|u| u.leaving.is_some());
+        let list = serde_json::json!({
+            "live": [],
+            "leaving": leaving.map(|u| u.name.as_str()).collect::<Vec<_>>(),
+        });
+        let service = self.liveness.clone();
+        self.publish(Kind::Liveness, &service, list.to_string().into());
     }
 
     fn drain(&mut self, index: usize) {
--- /dev/null
+++ b/crates/rig/tests/cases/history.rs
@@ -0,0 +1,233 @@
+//! The history checker rejects each kind of violation, and accepts what holds.
+
+use std::collections::BTreeSet;
+
+use base::{IdempotencyKey, InstanceName, RequestId, Revision, SnapshotId, Time};
+use bytes::Bytes;
+use node::{Answer, Coverage, Found, Hit, Reason, Refusal};
+use rig::history::{History, Seen, Violation};
+
+const ONE: RequestId = RequestId(1);
+const TWO: RequestId = RequestId(2);
+
+fn key() -> IdempotencyKey {
+    "1764800000-a".parse().unwrap()
+}
+
+fn instance() -> InstanceName {
+    "instance-0".parse().unwrap()
+}
+
+fn called(request: RequestId) -> Seen {
+    Seen::Called {
+        request,
+        key: Some(key()),
+        instance: instance(),
+    }
+}
+
+fn ran(request: RequestId) -> Seen {
+    Seen::Ran {
+        request,
+        key: key(),
+    }
+}
+
+fn answered(request: RequestId, answer: Answer) -> Seen {
+    Seen::Answered { request, answer }
+}
+
+fn done(request: RequestId) -> Answer {
+    Answer::Done {
+        request,
+        outcome: Bytes::new(),
+        repeated: false,
+    }
+}
+
+fn refused() -> Answer {
+    Answer::Refused(Refusal {
+        reason: Reason::Overload,
+        retry_after: None,
+    })
+}
+
+fn searched() -> Seen {
+    Seen::Searched {
+        request: ONE,
+        shard: "s".parse().unwrap(),
+        snapshot: SnapshotId(7),
+    }
+}
+
+/// Returns the result of a search of two shards, of which one is missing.
+fn found(text: &str, answered: u32) -> Seen {
+    let hit = Hit {
+        id: "s".into(),
+        score: 1,
+        text: text.into(),
+    };
+    let found = Found {
+        request: ONE,
+        snapshot: SnapshotId(7),
+        hits: vec![hit],
+        coverage: Coverage {
+            asked: 2,
+            answered,
+            missing: vec!["t".parse().unwrap()],
+        },
+    };
+    Seen::Answered {
+        request: ONE,
+        answer: Answer::Found(found),
+    }
+}
+
+fn check(seen: Vec<Seen>) -> Vec<Violation> {
+    let mut history = History::default();
+    for (second, seen) in (0..).zip(seen) {
+        history.push(Time::from_millis(second * 1_000), seen);
+    }
+    let violations: BTreeSet<Violation> = history.check();
+    violations.into_iter().collect()
+}
+
+#[test]
+fn a_history_that_holds_is_accepted() {
+    let seen = vec![
+        called(ONE),
+        ran(ONE),
+        answered(ONE, done(ONE)),
+        called(TWO),
+        answered(TWO, done(ONE)),
+        Seen::Draining {
+            instance: instance(),
+        },
+        Seen::Drained {
+            instance: instance(),
+        },
+        Seen::End,
+    ];
+    assert_eq!(check(seen), []);
+    let text = format!("{ONE}/7/s");
+    let seen = vec![called(ONE), searched(), found(&text, 1), Seen::End];
+    assert_eq!(check(seen), []);
+}
+
+#[test]
+fn two_runs_of_a_key_are_rejected() {
+    let seen = vec![called(ONE), ran(ONE), called(TWO), ran(TWO)];
+    assert_eq!(check(seen), [Violation::RanTwice(key())]);
+    assert_eq!(
+        check(vec![called(ONE), ran(ONE), ran(ONE)]),
+        [Violation::RanTwice(key())]
+    );
+}
+
+#[test]
+fn a_run_of_a_refused_request_is_rejected() {
+    for answer in [refused(), Answer::Expired] {
+        let seen = vec![called(ONE), answered(ONE, answer), ran(ONE)];
+        assert_eq!(check(seen), [Violation::RanAfterRefusal(ONE)]);
+    }
+}
+
+#[test]
+fn an_outcome_without_a_run_is_rejected() {
+    let seen = vec![called(ONE), answered(ONE, done(ONE))];
+    assert_eq!(check(seen), [Violation::NeverRan(ONE)]);
+    let seen = vec![called(ONE), ran(ONE), answered(ONE, done(TWO))];
+    assert_eq!(check(seen), [Violation::NeverRan(ONE)]);
+}
+
+#[test]
+fn hits_of_another_request_are_rejected() {
+    let text = format!("{TWO}/7/s");
+    let seen = vec![called(ONE), searched(), found(&text, 1)];
+    assert_eq!(check(seen), [Violation::ForeignHits(ONE)]);
+}
+
+#[test]
+fn hits_of_another_snapshot_are_rejected() {
+    let text = format!("{ONE}/6/s");
+    let seen = vec![called(ONE), searched(), found(&text, 1)];
+    assert_eq!(check(seen), [Violation::MixedSnapshots(ONE)]);
+}
+
+#[test]
+fn coverage_that_was_not_searched_is_rejected() {
+    let text = format!("{ONE}/7/s");
+    let seen = vec![called(ONE), found(&text, 1)];
+    assert_eq!(check(seen), [Violation::FalseCoverage(ONE)]);
+    let seen = vec![called(ONE), searched(), found(&text, 2)];
+    assert_eq!(check(seen), [Violation::FalseCoverage(ONE)]);
+}
+
+#[test]
+fn a_second_answer_is_rejected() {
+    let seen = vec![
+        called(ONE),
+        answered(ONE, refused()),
+        answered(ONE, refused()),
+    ];
+    assert_eq!(check(seen), [Violation::AnsweredTwice(ONE)]);
+}
+
+#[test]
+fn work_for_a_leaving_upstream_is_rejected() {
+    let name = || "u".parse().unwrap();
+    let leaving = Seen::Leaving { upstream: name() };
+    let started = || Seen::Started { upstream: name() };
+    let seen = vec![leaving, started(), started(), started(), started()];
+    assert_eq!(check(seen), [Violation::WorkAfterLeaving(name())]);
+}
+
+#[test]
+fn a_revision_that_reverts_is_rejected() {
+    let in_force = |life, revision| Seen::InForce {
+        instance: instance(),
+        life,
+        revision: Revision(revision),
+    };
+    assert_eq!(
+        check(vec![in_force(1, 5), in_force(1, 4)]),
+        [Violation::Reverted(instance())]
+    );
+    assert_eq!(check(vec![in_force(1, 5), in_force(2, 4)]), []);
+}
+
+#[test]
+fn a_shutdown_that_cuts_a_request_is_rejected() {
+    let ended = Seen::Drained {
+        instance: instance(),
+    };
+    assert_eq!(
+        check(vec![called(ONE), ended]),
+        [Violation::CutByShutdown(ONE)]
+    );
+}
+
+#[test]
+fn a_request_without_an_answer_is_rejected() {
+    assert_eq!(
+        check(vec![called(ONE), Seen::End]),
+        [Violation::Unanswered(ONE)]
+    );
+    let hung_up = Seen::HungUp { request: ONE };
+    assert_eq!(check(vec![called(ONE), hung_up, Seen::End]), []);
+    let killed = Seen::Killed {
+        instance: instance(),
+    };
+    assert_eq!(check(vec![called(ONE), killed, Seen::End]), []);
+}
+
+#[test]
+fn a_shutdown_that_does_not_end_is_rejected() {
+    let draining = Seen::Draining {
+        instance: instance(),
+    };
+    assert_eq!(
+        check(vec![draining, Seen::End]),
+        [Violation::NeverEnded(instance())]
+    );
+}
--- a/crates/rig/tests/cases/mod.rs
+++ b/crates/rig/tests/cases/mod.rs
@@ -1,5 +1,6 @@
 //! Test cases and what they share.
 
+mod history;
 mod load;
 mod platform;
 mod upstream;
