node: keep asking the instance that holds an upstream when owners change twice

Cause: a new owner that still waited for the handover asked another instance as soon as the assignment moved once more. The other one had nothing in flight and released at once, while the first still worked: the upstream got more requests than it has slots.

--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -95,7 +95,12 @@
                     Some(previous) if *previous != self.own => Some(previous),
                     _ => without_self.get(&upstream),
                 };
-                let previous = previous.filter(|p| is_present(p)).cloned();
+                let previous = match self.holds.get(&upstream) {
+                    // The one that was asked may still send, whoever is assigned in between.
+                    Some(Hold::Asking { previous, .. }) if is_present(previous) => Some(previous),
+                    _ => previous.filter(|p| is_present(p)),
+                };
+                let previous = previous.cloned();
                 self.settle(now, upstream, &owner, previous);
                 self.assigned.insert(upstream, owner);
             }
--- a/crates/node/tests/history.rs
+++ b/crates/node/tests/history.rs
@@ -5,8 +5,10 @@
 
 use std::{collections::BTreeSet, time::Duration};
 
+use base::SnapshotId;
 use bytes::Bytes;
 use cat::Class;
+use node::Kind;
 use quickcheck::{Arbitrary, Gen};
 use rig::{
     history::{Seen, Violation},
@@ -42,9 +44,22 @@
         /// Time after which the caller hangs up, in microseconds.
         hangs_up: Option<u64>,
     },
+    /// A revision of the catalogue is accepted.
+    Revision,
+    /// A snapshot is published, and upstreams begin to serve it.
+    Snapshot,
     Fault(Fault),
 }
 
+/// What a history breaks.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Broken {
+    /// A promise to callers or operators.
+    Promise(Violation),
+    /// The slots of an upstream, although its instances could hear each other.
+    Slots(usize),
+}
+
 /// A generated history: a scene, requests and faults.
 #[derive(Clone, Debug)]
 struct Story {
@@ -190,6 +205,12 @@
                 let at = start + below(g, 14_000);
                 steps.push(Step { at, what });
             }
+            for what in [What::Revision, What::Revision, What::Snapshot] {
+                if one_in(g, 3) {
+                    let at = start + below(g, 400_000);
+                    steps.push(Step { at, what });
+                }
+            }
             if bool::arbitrary(g) {
                 let what = What::Fault(fault(g, &scene));
                 let at = start + below(g, 1_500_000);
@@ -216,8 +237,14 @@
     }
 
     /// Lets the history happen and returns what it breaks.
-    fn violations(&self) -> BTreeSet<Violation> {
-        self.happen().history.check()
+    fn violations(&self) -> BTreeSet<Broken> {
+        let world = self.happen();
+        let violations = world.history.check().into_iter().map(Broken::Promise);
+        let slots = self.scene.slots as usize;
+        let exceeded = (0..self.scene.upstreams)
+            .filter(|u| self.is_connected() && world.most_in_work(Scene::address(*u)) > slots)
+            .map(Broken::Slots);
+        violations.chain(exceeded).collect()
     }
 
     fn happen(&self) -> World {
@@ -225,6 +252,7 @@
         let begin = world.now();
         let mut steps: Vec<Step> = self.steps.clone();
         let mut hang_ups = Vec::new();
+        let (mut revision, mut snapshot) = (1, 1);
         steps.sort_by_key(|step| step.at);
         for step in steps {
             let due = begin + Duration::from_micros(step.at);
@@ -249,6 +277,14 @@
                         hang_ups.push((due + Duration::from_micros(after), request));
                     }
                 }
+                What::Revision => {
+                    revision += 1;
+                    self.accept(&mut world, revision);
+                }
+                What::Snapshot => {
+                    snapshot += 1;
+                    self.publish(&mut world, snapshot);
+                }
                 What::Fault(fault) => world.fault_in(Duration::ZERO, fault),
             }
         }
@@ -259,6 +295,37 @@
         world
     }
 
+    fn accept(&self, world: &mut World, revision: u64) {
+        let mut catalogue = self.scene.catalogue();
+        catalogue.entries[0].limits.results += u32::try_from(revision).unwrap();
+        for (kind, name, value) in Scene::objects(&catalogue, revision) {
+            world.publish(kind, &name, value);
+        }
+    }
+
+    /// Publishes the two newest snapshots, with another count of shards in each.
+    fn publish(&self, world: &mut World, newest: u64) {
+        let shards = |id: u64| 2 + usize::try_from(id % 4).unwrap();
+        let ids = [newest - 1, newest];
+        let snapshots = ids.map(|id| self.scene.snapshot(SnapshotId(id), shards(id)));
+        for upstream in 0..self.scene.upstreams {
+            if let Some(plan) = world.upstream_plan(Scene::address(upstream)) {
+                plan.snapshots = ids.map(SnapshotId).into();
+            }
+        }
+        let index = self.scene.index(snapshots.into());
+        world.publish(Kind::Index, Scene::service().as_str(), index);
+    }
+
+    /// Returns whether the views of the instances agree but for crashes and pauses.
+    fn is_connected(&self) -> bool {
+        let cuts = |step: &Step| {
+            let what = &step.what;
+            matches!(what, What::Fault(Fault::Cut { .. } | Fault::Late { .. }))
+        };
+        !self.steps.iter().any(cuts)
+    }
+
     /// Drops steps as long as a violation remains.
     fn shrunk(self) -> Self {
         match self.shrink().find(|story| !story.violations().is_empty()) {
@@ -324,3 +391,32 @@
         assert_eq!(seen(), seen(), "seed {seed}");
     }
 }
+
+/// An upstream changes its owner twice before the first handover is over.
+#[test]
+fn two_handovers_at_once_keep_the_slots() {
+    let scene = Scene {
+        instances: 4,
+        slots: 1,
+        shards: 4,
+        seed: 8_250_614_015_948_687_822,
+        upstream: UpstreamPlan {
+            service_time: Duration::from_micros(5_916),
+            slow_one_in: 2,
+            ..UpstreamPlan::default()
+        },
+        ..Scene::default()
+    };
+    let steps = vec![
+        (185_307, What::Search(3, Class::Latency)),
+        (192_976, What::Fault(Fault::Drain { instance: 0 })),
+        (194_827, What::Fault(Fault::Drain { instance: 3 })),
+        (196_602, What::Search(2, Class::Coverage)),
+    ];
+    let steps = steps.into_iter().map(|(at, what)| Step { at, what });
+    let story = Story {
+        scene,
+        steps: steps.collect(),
+    };
+    assert!(story.violations().is_empty(), "{:?}", story.violations());
+}
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -104,6 +104,8 @@
     RanAfterRefusal(RequestId),
     /// A caller was told an outcome of a request that never ran.
     NeverRan(RequestId),
+    /// A caller was told the outcome of another request than the answer names.
+    ForeignOutcome(RequestId),
     /// An answer holds hits of another request.
     ForeignHits(RequestId),
     /// An answer holds hits of another snapshot.
@@ -223,7 +225,16 @@
         }
         match answer {
             Answer::Found(found) => self.found(request, found),
-            Answer::Done { request: told, .. } => {
+            Answer::Done {
+                request: told,
+                outcome,
+                ..
+            } => {
+                // Simulated upstreams name the request in its outcome; a large one is not kept.
+                let text = String::from_utf8_lossy(outcome);
+                if !text.contains(&told.to_string()) && text != "null" {
+                    self.violations.insert(Violation::ForeignOutcome(request));
+                }
                 let key = self.keys.get(&request);
                 let runs = key.and_then(|key| self.runs.get(key));
                 if !runs.is_some_and(|runs| runs.contains(told)) {
--- a/crates/rig/src/sim/upstream.rs
+++ b/crates/rig/src/sim/upstream.rs
@@ -24,7 +24,7 @@
     pub slow_one_in: u64,
     /// One run in this many is refused as overload; 0 for none.
     pub refuse_one_in: u64,
-    /// One run in this many is answered with another request's identity; 0 for none.
+    /// One request in this many is answered as if it were another; 0 for none.
     pub mix_up_one_in: u64,
     /// Snapshots that are served.
     pub snapshots: BTreeSet<SnapshotId>,
@@ -109,9 +109,11 @@
                 }
             }
             SubRequest::Search { echo, .. } => {
-                let hits = vec![hit(echo)];
+                let mut echo = echo.clone();
+                echo.request.0 += u128::from(mixed_up);
+                let hits = vec![hit(&echo)];
                 UpstreamEvent::Replied(Reply {
-                    echo: echo.clone(),
+                    echo,
                     hits,
                     draining,
                 })
--- a/crates/rig/src/sim/world.rs
+++ b/crates/rig/src/sim/world.rs
@@ -159,6 +159,8 @@
     },
     AtUpstream(SocketAddr, Work),
     Finished(SocketAddr, u64),
+    /// A cancellation reaches the upstream of an attempt.
+    Cancel(usize, u64, AttemptId),
     WatchesEnd,
     Restart(usize),
     /// The pause of an instance ends, in one of its lives.
@@ -440,6 +442,7 @@
             }
             Happening::AtUpstream(address, work) => self.at_upstream(address, work),
             Happening::Finished(address, number) => self.finished(address, number),
+            Happening::Cancel(instance, life, attempt) => self.cancel(instance, life, attempt),
             Happening::WatchesEnd => self.answer_watches(),
             Happening::Restart(instance) => self.start(instance),
             Happening::Resume(instance, life) => self.resume(instance, life),
@@ -551,7 +554,11 @@
                 };
                 self.later(at, Happening::AtUpstream(address, work));
             }
-            Effect::Cancel(attempt) => self.cancel(index, life, attempt),
+            Effect::Cancel(attempt) => {
+                // It does not overtake the request.
+                let at = self.now + HOP * 2;
+                self.later(at, Happening::Cancel(index, life, attempt));
+            }
             Effect::Platform(op, call) => {
                 let at = self.now + PLATFORM_HOP + self.jitter();
                 self.later(
@@ -796,7 +803,7 @@
         }
         let event = Event::Upstream(attempt, UpstreamEvent::Failed(Failure::Cancelled));
         self.later(
-            self.now + HOP * 2,
+            self.now + HOP,
             Happening::Event {
                 instance,
                 life,
--- a/crates/rig/tests/cases/history.rs
+++ b/crates/rig/tests/cases/history.rs
@@ -3,7 +3,6 @@
 use std::collections::BTreeSet;
 
 use base::{IdempotencyKey, InstanceName, RequestId, Revision, SnapshotId, Time};
-use bytes::Bytes;
 use node::{Answer, Coverage, Found, Hit, Reason, Refusal};
 use rig::history::{History, Seen, Violation};
 
@@ -40,7 +39,7 @@
 fn done(request: RequestId) -> Answer {
     Answer::Done {
         request,
-        outcome: Bytes::new(),
+        outcome: format!("\"{request}\"").into(),
         repeated: false,
     }
 }
@@ -140,6 +139,17 @@
     assert_eq!(check(seen), [Violation::NeverRan(ONE)]);
 }
 
+#[test]
+fn an_outcome_of_another_request_is_rejected() {
+    let answer = Answer::Done {
+        request: ONE,
+        outcome: format!("\"{TWO}\"").into(),
+        repeated: false,
+    };
+    let seen = vec![called(ONE), ran(ONE), answered(ONE, answer)];
+    assert_eq!(check(seen), [Violation::ForeignOutcome(ONE)]);
+}
+
 #[test]
 fn hits_of_another_request_are_rejected() {
     let text = format!("{TWO}/7/s");
