--- a/crates/node/src/store/ports.rs
+++ b/crates/node/src/store/ports.rs
@@ -19,7 +19,7 @@
 
 impl Cx<'_> {
     /// Calls the platform under a new operation id.
-    pub(super) fn platform(&mut self, op: PlatformOp) -> OpId {
+    pub(crate) fn platform(&mut self, op: PlatformOp) -> OpId {
         *self.ops = self.ops.next();
         self.effects.push(Effect::Platform(*self.ops, op));
         *self.ops
--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -2,7 +2,9 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+mod claims;
 mod fleet;
+mod history;
 mod members;
 mod search;
 mod store;
--- a/crates/rig/src/history.rs
+++ b/crates/rig/src/history.rs
@@ -43,7 +43,7 @@
         /// The upstream.
         upstream: UpstreamName,
     },
-    /// An upstream carried out a request of the once class.
+    /// An upstream began to carry out a request of the once class.
     Ran {
         /// The request.
         request: RequestId,
@@ -74,6 +74,13 @@
         /// The instance.
         instance: InstanceName,
     },
+    /// A caller closed its connection before the answer.
+    HungUp {
+        /// The request.
+        request: RequestId,
+    },
+    /// The record ends, long after the last request and the last fault.
+    End,
     /// An instance was killed; its callers get no answers.
     Killed {
         /// The instance.
@@ -97,6 +104,8 @@
     RanAfterRefusal(RequestId),
     /// A caller was told an outcome of a request that never ran.
     NeverRan(RequestId),
+    /// A caller was told the outcome of another request than the answer names.
+    ForeignOutcome(RequestId),
     /// An answer holds hits of another request.
     ForeignHits(RequestId),
     /// An answer holds hits of another snapshot.
@@ -111,6 +120,10 @@
     Reverted(InstanceName),
     /// A graceful shutdown left a request without an answer.
     CutByShutdown(RequestId),
+    /// A request at an instance that lived on got no answer.
+    Unanswered(RequestId),
+    /// A graceful shutdown did not end.
+    NeverEnded(InstanceName),
 }
 
 impl History {
@@ -138,11 +151,13 @@
     runs: BTreeMap<IdempotencyKey, Vec<RequestId>>,
     ran: BTreeSet<RequestId>,
     searched: BTreeSet<(RequestId, SnapshotId, ShardName)>,
-    open: BTreeMap<RequestId, (InstanceName, Option<IdempotencyKey>)>,
+    /// Requests without an answer, at their instances.
+    open: BTreeMap<RequestId, InstanceName>,
+    keys: BTreeMap<RequestId, IdempotencyKey>,
     answered: BTreeSet<RequestId>,
     leaving: BTreeMap<UpstreamName, Time>,
     in_force: BTreeMap<(InstanceName, u64), Revision>,
-    killed: BTreeSet<InstanceName>,
+    draining: BTreeSet<InstanceName>,
     violations: BTreeSet<Violation>,
 }
 
@@ -161,7 +176,8 @@
                 key,
                 instance,
             } => {
-                self.open.insert(*request, (instance.clone(), key.clone()));
+                self.open.insert(*request, instance.clone());
+                self.keys.extend(key.clone().map(|key| (*request, key)));
             }
             Seen::Answered { request, answer } => self.answered(*request, answer),
             Seen::Searched {
@@ -187,25 +203,40 @@
                         .insert(Violation::Reverted(instance.clone()));
                 }
             }
-            Seen::Draining { .. } => {}
+            Seen::Draining { instance } => {
+                self.draining.insert(instance.clone());
+            }
+            Seen::HungUp { request } => {
+                self.open.remove(request);
+            }
+            Seen::End => self.end(),
             Seen::Drained { instance } => self.drained(instance),
             Seen::Killed { instance } => {
-                self.open.retain(|_, (at, _)| at != instance);
-                self.killed.insert(instance.clone());
+                self.open.retain(|_, at| at != instance);
+                self.draining.remove(instance);
             }
         }
     }
 
     fn answered(&mut self, request: RequestId, answer: &Answer) {
-        let called = self.open.remove(&request);
+        self.open.remove(&request);
         if !self.answered.insert(request) {
             self.violations.insert(Violation::AnsweredTwice(request));
         }
         match answer {
             Answer::Found(found) => self.found(request, found),
-            Answer::Done { request: told, .. } => {
-                let key = called.and_then(|(_, key)| key);
-                let runs = key.and_then(|key| self.runs.get(&key));
+            Answer::Done {
+                request: told,
+                outcome,
+                ..
+            } => {
+                // Simulated upstreams name the request in its outcome; a large one is not kept.
+                let text = String::from_utf8_lossy(outcome);
+                if !text.contains(&told.to_string()) && text != "null" {
+                    self.violations.insert(Violation::ForeignOutcome(request));
+                }
+                let key = self.keys.get(&request);
+                let runs = key.and_then(|key| self.runs.get(key));
                 if !runs.is_some_and(|runs| runs.contains(told)) {
                     self.violations.insert(Violation::NeverRan(request));
                 }
@@ -216,6 +247,11 @@
                 }
             }
             Answer::Unknown { .. } => {}
+            Answer::Expired => {
+                if self.ran.contains(&request) {
+                    self.violations.insert(Violation::RanAfterRefusal(request));
+                }
+            }
         }
     }
 
@@ -261,8 +297,16 @@
         }
     }
 
+    fn end(&mut self) {
+        let unanswered = self.open.keys().copied().map(Violation::Unanswered);
+        self.violations.extend(unanswered);
+        let draining = self.draining.iter().cloned();
+        self.violations.extend(draining.map(Violation::NeverEnded));
+    }
+
     fn drained(&mut self, instance: &InstanceName) {
-        for (request, (at, _)) in &self.open {
+        self.draining.remove(instance);
+        for (request, at) in &self.open {
             if at == instance {
                 self.violations.insert(Violation::CutByShutdown(*request));
             }
