rig: report on speed and stragglers

`briarcove-rig report` measures on separate processes and prints each figure against its target and the baseline of the same build.

--- a/crates/rig/src/cli.rs
+++ b/crates/rig/src/cli.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use compio::runtime::Runtime;
 use gumdrop::Options;
-use rig::{demo, fleet, load, platform, server, upstream};
+use rig::{demo, fleet, load, platform, report, server, upstream};
 use snafu::{OptionExt, ResultExt, Snafu};
 
 /// Longest time that a server or a load runs, in seconds.
@@ -40,6 +40,8 @@
     Load(LoadArgs),
     #[options(help = "run the demonstration")]
     Demo(DemoArgs),
+    #[options(help = "measure the targets on separate processes")]
+    Report(ReportArgs),
 }
 
 #[derive(Debug, Options)]
@@ -107,6 +109,17 @@
     help: bool,
 }
 
+#[derive(Debug, Options)]
+struct ReportArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(
+        no_short,
+        help = "run this experiment alone; may be given more than once"
+    )]
+    only: Vec<String>,
+}
+
 #[derive(Debug, Default)]
 struct Addresses(Vec<SocketAddr>);
 
@@ -141,6 +154,8 @@
     Fleet { source: fleet::Error },
     #[snafu(transparent)]
     Load { source: load::Error },
+    #[snafu(transparent)]
+    Report { source: report::Error },
 }
 
 impl Args {
@@ -151,6 +166,7 @@
             Some(Command::Upstreams(args)) => run_upstreams(args),
             Some(Command::Load(args)) => run_load(args),
             Some(Command::Demo(_)) => run_demo(),
+            Some(Command::Report(args)) => run_report(&args),
             None => Ok(()),
         }
     }
@@ -208,6 +224,12 @@
     Ok(())
 }
 
+fn run_report(args: &ReportArgs) -> Result<(), Error> {
+    let runtime = Runtime::new().context(StartRuntimeSnafu)?;
+    runtime.block_on(report::run(&args.only))?;
+    Ok(())
+}
+
 fn load_config(args: LoadArgs) -> Result<load::Config, Error> {
     let (pace, connections) = match (args.rate, args.concurrency) {
         (Some(rate), None) if rate > 0.0 => (load::Pace::Open(rate), OPEN_CONNECTIONS),
@@ -233,6 +255,7 @@
         bodies,
         deadline: args.deadline_ms.map(Duration::from_millis),
         seed: args.seed,
+        keep: false,
     })
 }
 
--- a/crates/rig/src/fleet/mod.rs
+++ b/crates/rig/src/fleet/mod.rs
@@ -15,7 +15,7 @@
 use snafu::{ResultExt, Snafu};
 
 pub use api::{Answered, call, control, get_json, put_object};
-pub use plan::{FleetPlan, ServicePlan};
+pub use plan::{EntryPlan, FleetPlan, ServicePlan};
 pub use process::{Process, Usage, sibling};
 
 /// Longest wait for an instance to become ready.
@@ -82,8 +82,9 @@
     pub upstreams: Vec<RunningUpstream>,
     /// The instances.
     pub instances: Vec<Instance>,
+    /// What the set-up consists of; a change takes effect with [`Fleet::apply`].
+    pub plan: FleetPlan,
     folder: PathBuf,
-    plan: FleetPlan,
 }
 
 impl Fleet {
--- a/crates/rig/src/fleet/plan.rs
+++ b/crates/rig/src/fleet/plan.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use base::{ServiceName, ShardName, SnapshotId, UpstreamName};
-use cat::{Index, Shard, Snapshot};
+use cat::{Class, Index, Shard, Snapshot};
 use serde_json::{Map, Value, json};
 
 use super::RunningUpstream;
@@ -28,6 +28,25 @@
     pub limits: Value,
     /// Behaviour of the upstreams.
     pub params: Params,
+    /// Threads that the upstreams share.
+    pub threads: usize,
+    /// Slots and connections that the catalogue declares, when they are not those of `params`.
+    pub declared: Option<(usize, usize)>,
+    /// Entries beside the one of each class.
+    pub entries: Vec<EntryPlan>,
+    /// Shards of one more snapshot that upstreams hold and nobody has published; 0 means none.
+    pub unpublished_shards: usize,
+}
+
+/// One more entry of a service.
+#[derive(Clone, Debug)]
+pub struct EntryPlan {
+    /// Name of the entry.
+    pub name: Box<str>,
+    /// Class of the entry.
+    pub class: Class,
+    /// Limits of the entry, as the catalogue writes them.
+    pub limits: Value,
 }
 
 impl Default for ServicePlan {
@@ -41,6 +60,10 @@
             documents: 400,
             limits: json!({ "deadline": "180ms" }),
             params: Params::default(),
+            threads: 1,
+            declared: None,
+            entries: Vec::new(),
+            unpublished_shards: 0,
         }
     }
 }
@@ -61,7 +84,11 @@
         let service: ServiceName = self.name.parse().expect("a valid service name");
         let snapshot = |id| Snapshot {
             id: SnapshotId(id),
-            shards: self.shard_map(),
+            shards: self.shard_map(if id > self.snapshots {
+                self.unpublished_shards
+            } else {
+                self.shards
+            }),
         };
         Index {
             service,
@@ -69,7 +96,7 @@
         }
     }
 
-    fn shard_map(&self) -> Vec<Shard> {
+    fn shard_map(&self, shards: usize) -> Vec<Shard> {
         let names: Vec<UpstreamName> = self
             .upstream_names()
             .iter()
@@ -83,22 +110,30 @@
                 replicas: replicas.collect(),
             }
         };
-        (0..self.shards).map(shard).collect()
+        (0..shards).map(shard).collect()
     }
 
-    fn spec(&self) -> ServiceSpec {
-        let member = |name: Box<str>| Member {
+    /// Returns the upstreams of each thread.
+    fn groups(&self) -> Vec<Group> {
+        let member = |name: &Box<str>| Member {
             name: name.parse().expect("a valid name"),
             port: 0,
             params: Map::new(),
         };
-        ServiceSpec {
-            index: self.index(1, self.snapshots),
+        let held = self.snapshots + u64::from(self.unpublished_shards > 0);
+        let spec = |names: &[Box<str>]| ServiceSpec {
+            index: self.index(1, held),
             documents: self.documents,
             seed: 1,
             params: self.params.clone(),
-            upstreams: self.upstream_names().into_iter().map(member).collect(),
-        }
+            upstreams: names.iter().map(member).collect(),
+        };
+        let names = self.upstream_names();
+        let threads = names.chunks(names.len().div_ceil(self.threads.max(1)));
+        let group = |names| Group {
+            services: vec![spec(names)],
+        };
+        threads.map(group).collect()
     }
 }
 
@@ -153,11 +188,8 @@
     /// Returns the specification of each process of upstreams with the upstreams' names.
     pub(super) fn upstream_groups(&self) -> Vec<(String, Vec<Box<str>>)> {
         let group = |service: &ServicePlan| {
-            let groups = vec![Group {
-                services: vec![service.spec()],
-            }];
             (
-                serde_json::to_string(&groups).unwrap_or_default(),
+                serde_json::to_string(&service.groups()).unwrap_or_default(),
                 service.upstream_names(),
             )
         };
@@ -170,15 +202,14 @@
         let mut entries = Map::new();
         for service in &self.services {
             services.insert(service.name.to_string(), self.service(service, running));
-            for class in ["latency", "coverage", "once"] {
-                let entry = json!({
-                    "service": service.name,
-                    "owner": "search desk",
-                    "class": class,
-                    "limits": limits_of(class, &service.limits),
-                });
+            for class in [Class::Latency, Class::Coverage, Class::Once] {
+                let entry = entry(service, class, &service.limits);
                 entries.insert(format!("{}-{class}", service.name), entry);
             }
+            for more in &service.entries {
+                let entry = entry(service, more.class, &more.limits);
+                entries.insert(more.name.to_string(), entry);
+            }
         }
         json!({ "services": services, "entries": entries }).to_string()
     }
@@ -194,11 +225,9 @@
                 json!({ "address": upstream.address.to_string(), "data_centre": data_centre });
             upstreams.insert(name.into(), place);
         }
-        json!({
-            "slots": service.params.slots,
-            "connections": service.params.connections,
-            "upstreams": upstreams,
-        })
+        let own = (service.params.slots, service.params.connections);
+        let (slots, connections) = service.declared.unwrap_or(own);
+        json!({ "slots": slots, "connections": connections, "upstreams": upstreams })
     }
 
     /// Returns the settings of an instance.
@@ -226,10 +255,19 @@
     }
 }
 
+fn entry(service: &ServicePlan, class: Class, limits: &Value) -> Value {
+    json!({
+        "service": service.name,
+        "owner": "search desk",
+        "class": class,
+        "limits": limits_of(class, limits),
+    })
+}
+
 /// Returns the limits of an entry; one of the once class has no hedges.
-fn limits_of(class: &str, limits: &Value) -> Value {
+fn limits_of(class: Class, limits: &Value) -> Value {
     let mut limits = limits.clone();
-    if let (true, Value::Object(limits)) = (class == "once", &mut limits) {
+    if let (Class::Once, Value::Object(limits)) = (class, &mut limits) {
         limits.remove("hedge");
     }
     limits
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod load;
 pub mod platform;
 pub mod reply;
+pub mod report;
 pub mod server;
 pub mod sim;
 mod stream;
--- a/crates/rig/src/load/mod.rs
+++ b/crates/rig/src/load/mod.rs
@@ -16,7 +16,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use snafu::Snafu;
 
-pub use report::{Coverage, Latency, Report, RunRecord};
+pub use report::{Coverage, Kept, Latency, Report, RunRecord};
 
 use crate::client::Client;
 use report::Recorder;
@@ -83,6 +83,8 @@
     pub deadline: Option<Duration>,
     /// Seed of the gaps between requests and of the idempotency keys.
     pub seed: u64,
+    /// Whether the report keeps every reply.
+    pub keep: bool,
 }
 
 /// Sends the load on the current runtime and reports what came of it.
@@ -158,7 +160,11 @@
     }
 
     fn record(&self, key: Option<Box<str>>, reply: Option<&Response<Bytes>>, latency: Duration) {
-        self.recorder.borrow_mut().record(key, reply, latency);
+        let mut recorder = self.recorder.borrow_mut();
+        recorder.record(key, reply, latency);
+        if let (true, Some(reply)) = (self.cfg.keep, reply) {
+            recorder.keep(reply, latency);
+        }
     }
 
     fn take_turn(&self) -> Option<Turn> {
--- a/crates/rig/src/load/report.rs
+++ b/crates/rig/src/load/report.rs
@@ -79,6 +79,19 @@
     pub latency_us: u64,
 }
 
+/// A reply that was kept whole.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Kept {
+    /// Status of the reply.
+    pub status: u16,
+    /// Whether the reply names a time to come back.
+    pub retry_after: bool,
+    /// Time that it took.
+    pub latency: Duration,
+    /// Body of the reply.
+    pub body: Bytes,
+}
+
 /// What came of a load.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Report {
@@ -96,6 +109,9 @@
     pub coverage: Coverage,
     /// Every run, in the order in which they ended.
     pub runs: Vec<RunRecord>,
+    /// Replies in the order in which they came, if they are kept.
+    #[serde(skip)]
+    pub kept: Vec<Kept>,
 }
 
 impl fmt::Display for Report {
@@ -160,6 +176,7 @@
     failed: u64,
     coverage: Coverage,
     runs: Vec<RunRecord>,
+    kept: Vec<Kept>,
 }
 
 impl Recorder {
@@ -171,6 +188,7 @@
             failed: 0,
             coverage: Coverage::default(),
             runs: Vec::new(),
+            kept: Vec::new(),
         }
     }
 
@@ -202,6 +220,16 @@
         }
     }
 
+    /// Keeps a reply whole.
+    pub(super) fn keep(&mut self, reply: &Response<Bytes>, latency: Duration) {
+        self.kept.push(Kept {
+            status: reply.status().as_u16(),
+            retry_after: reply.headers().contains_key("retry-after"),
+            latency,
+            body: reply.body().clone(),
+        });
+    }
+
     fn cover(&mut self, body: &[u8]) {
         let Some(found) = parse_coverage(body) else {
             self.coverage.none += 1;
@@ -233,6 +261,7 @@
             statuses: statuses.map(|(s, h)| (*s, h.into())).collect(),
             coverage: self.coverage,
             runs: self.runs,
+            kept: self.kept,
         }
     }
 }
--- /dev/null
+++ b/crates/rig/src/report/mod.rs
@@ -0,0 +1,115 @@
+//! Measures the targets of the policy on separate processes, with the baseline of the same build.
+
+mod speed;
+mod stragglers;
+mod table;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use serde_json::Value;
+use snafu::Snafu;
+
+pub use table::{Row, Target};
+
+use crate::{
+    fleet::{self, Fleet},
+    load::{self, Config, Kind, Pace},
+};
+
+/// Experiments in the order in which they run.
+pub const EXPERIMENTS: [&str; 2] = ["speed", "stragglers"];
+
+/// Bodies of the searches.
+const BODIES: [&str; 4] = [
+    r#"{"query":"harpist cardiff"}"#,
+    r#"{"query":"male voice choir wedding"}"#,
+    r#"{"query":"certified transcript fraud trial"}"#,
+    r#"{"query":"custody hearing riga"}"#,
+];
+
+/// Connections of an open loop.
+const CONNECTIONS: usize = 512;
+
+/// Time in which instances learn the latencies of shards before a measurement.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// Why an experiment did not end.
+#[derive(Debug, Snafu)]
+pub enum Error {
+    /// There is no such experiment.
+    #[snafu(display("there is no experiment {name:?}; there are {EXPERIMENTS:?}"))]
+    Name {
+        /// The name that was given.
+        name: Box<str>,
+    },
+    /// The set-up failed.
+    #[snafu(transparent)]
+    Fleet {
+        /// Cause.
+        source: fleet::Error,
+    },
+    /// The load did not start.
+    #[snafu(transparent)]
+    Load {
+        /// Cause.
+        source: load::Error,
+    },
+}
+
+/// Runs the experiments of these names, or all of them, and prints each one's rows.
+///
+/// # Errors
+///
+/// Fails when a name is unknown, or when an experiment could not be carried out.
+pub async fn run(only: &[String]) -> Result<(), Error> {
+    let unknown = |name: &&String| !EXPERIMENTS.contains(&name.as_str());
+    if let Some(name) = only.iter().find(unknown) {
+        let name: Box<str> = name.as_str().into();
+        return NameSnafu { name }.fail();
+    }
+    let chosen = |name: &&str| only.is_empty() || only.iter().any(|n| n == name);
+    println!("| measure | before | after | ratio | target | verdict |");
+    println!("|---|---|---|---|---|---|");
+    for name in EXPERIMENTS.into_iter().filter(chosen) {
+        eprintln!("running {name} ...");
+        for row in experiment(name).await? {
+            println!("{row}");
+        }
+    }
+    Ok(())
+}
+
+async fn experiment(name: &str) -> Result<Vec<Row>, Error> {
+    match name {
+        "speed" => speed::run().await,
+        _ => stragglers::run().await,
+    }
+}
+
+/// Returns a load of searches through all instances.
+fn searches(fleet: &Fleet, entry: &str, pace: Pace, seconds: f64) -> Config {
+    Config {
+        targets: fleet.instances.iter().map(|i| i.callers).collect(),
+        entry: entry.parse().expect("a valid entry name"),
+        kind: Kind::Search,
+        pace,
+        connections: CONNECTIONS,
+        duration: Duration::from_secs_f64(seconds),
+        count: u64::MAX,
+        bodies: BODIES.map(Bytes::from).into(),
+        deadline: None,
+        seed: 1,
+        keep: false,
+    }
+}
+
+/// Returns a count of an instance's status.
+fn count(status: &Value, name: &str) -> f64 {
+    status["counts"][name].as_f64().unwrap_or(f64::NAN)
+}
+
+/// Returns microseconds as milliseconds.
+fn millis(micros: u64) -> f64 {
+    Duration::from_micros(micros).as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/crates/rig/src/report/speed.rs
@@ -0,0 +1,135 @@
+//! Speed of one instance: sub-requests a core, tail, overhead and memory.
+
+use std::time::Duration;
+
+use serde_json::json;
+
+use super::{Error, Row, Target, WARM_UP, count, millis, searches};
+use crate::{
+    fleet::{Fleet, FleetPlan, ServicePlan, Usage},
+    load::{self, Pace},
+    upstream::Params,
+};
+
+/// Shards of each search, with the searches in flight.
+const FAN_OUTS: [(usize, usize); 4] = [(1, 16), (10, 16), (100, 8), (700, 4)];
+/// Duration of each load, in seconds.
+const SECONDS: f64 = 8.0;
+/// Time that a shard takes where the overhead is measured, in microseconds.
+const SERVICE_US: u64 = 5_000;
+/// Searches a second where the overhead is measured.
+const MODERATE_RATE: f64 = 50.0;
+/// Bytes of a megabyte.
+const MEGABYTE: f64 = 1e6;
+
+/// Measures an instance under full load at each fan-out, and its overhead at a moderate one.
+pub(super) async fn run() -> Result<Vec<Row>, Error> {
+    let mut rows = Vec::new();
+    for (fan_out, in_flight) in FAN_OUTS {
+        rows.extend(saturate(fan_out, in_flight).await?);
+    }
+    rows.extend(overhead().await?);
+    Ok(rows)
+}
+
+async fn start(shards: usize, service_us: u64) -> Result<Fleet, Error> {
+    let service = ServicePlan {
+        upstreams: 12,
+        threads: 4,
+        shards,
+        documents: 2_000,
+        limits: json!({ "deadline": "2s", "rate": "100000/s", "hedge": "0%", "results": 10 }),
+        params: Params {
+            slots: 128,
+            service_us,
+            ..Params::default()
+        },
+        ..ServicePlan::default()
+    };
+    let plan = FleetPlan {
+        services: vec![service],
+        ..FleetPlan::default()
+    };
+    Ok(Fleet::start(plan).await?)
+}
+
+async fn saturate(fan_out: usize, in_flight: usize) -> Result<Vec<Row>, Error> {
+    let fleet = start(fan_out, 0).await?;
+    let cfg = |seconds| load::Config {
+        connections: in_flight,
+        ..searches(&fleet, "contracts-latency", Pace::Closed, seconds)
+    };
+    load::run(&cfg(WARM_UP.as_secs_f64())).await?;
+    let (status, used) = (fleet.status(0).await?, usage(&fleet));
+    let report = load::run(&cfg(SECONDS)).await?;
+    let spent = (usage(&fleet).cpu - used.cpu).as_secs_f64();
+    compio::time::sleep(Duration::from_millis(300)).await;
+    let grown = count(&fleet.status(0).await?, "first_attempts") - count(&status, "first_attempts");
+    let found = report.statuses.get(&200).copied().unwrap_or_default();
+    let row = |name: &str, after, target| {
+        Row::new(format!("speed: fan-out {fan_out}: {name}"), after, target)
+    };
+    let rate_target = if fan_out >= 100 {
+        Target::AtLeast(30_000.0)
+    } else {
+        Target::None
+    };
+    Ok(vec![
+        row(
+            "queries/s",
+            found.count as f64 / report.seconds,
+            Target::None,
+        ),
+        row("sub-requests/s", grown / report.seconds, Target::None),
+        row(
+            "sub-requests a second of one core",
+            grown / spent,
+            rate_target,
+        ),
+        row(
+            "processor in use, cores",
+            spent / report.seconds,
+            Target::None,
+        ),
+        row("p50 of an answer, ms", millis(found.p50), Target::None),
+        row("p99 of an answer, ms", millis(found.p99), Target::None),
+        row("p99.9 of an answer, ms", millis(found.p999), Target::None),
+        row(
+            "resident memory, MB",
+            usage(&fleet).resident as f64 / MEGABYTE,
+            Target::AtMost(128.0),
+        ),
+    ])
+}
+
+fn usage(fleet: &Fleet) -> Usage {
+    fleet.instances[0].process.usage().unwrap_or_default()
+}
+
+async fn overhead() -> Result<Vec<Row>, Error> {
+    let fleet = start(100, SERVICE_US).await?;
+    let cfg = |seconds| {
+        searches(
+            &fleet,
+            "contracts-latency",
+            Pace::Open(MODERATE_RATE),
+            seconds,
+        )
+    };
+    load::run(&cfg(WARM_UP.as_secs_f64())).await?;
+    let report = load::run(&cfg(20.0)).await?;
+    let found = report.statuses.get(&200).copied().unwrap_or_default();
+    let over = |latency| millis(latency) - millis(SERVICE_US);
+    Ok(vec![
+        Row::new(
+            "speed: fan-out 100: overhead at p50, ms",
+            over(found.p50),
+            Target::None,
+        ),
+        Row::new(
+            "speed: fan-out 100: overhead at p99, ms",
+            over(found.p99),
+            Target::AtMost(2.0),
+        ),
+    ])
+}
--- a/crates/rig/tests/cases/load.rs
+++ b/crates/rig/tests/cases/load.rs
@@ -68,6 +68,7 @@
         bodies: vec![Bytes::from_static(b"{}")],
         deadline: None,
         seed: 1,
+        keep: false,
     }
 }
 
