--- a/crates/rig/src/fleet/plan.rs
+++ b/crates/rig/src/fleet/plan.rs
@@ -115,13 +115,13 @@
 
     /// Returns the upstreams of each thread.
     fn groups(&self) -> Vec<Group> {
-        let member = |name: &Box<str>| Member {
-            name: name.parse().expect("a valid name"),
+        let member = |name: &UpstreamName| Member {
+            name: name.clone(),
             port: 0,
             params: Map::new(),
         };
         let held = self.snapshots + u64::from(self.unpublished_shards > 0);
-        let spec = |names: &[Box<str>]| ServiceSpec {
+        let spec = |names: &[UpstreamName]| ServiceSpec {
             index: self.index(1, held),
             documents: self.documents,
             seed: 1,
@@ -129,6 +129,10 @@
             upstreams: names.iter().map(member).collect(),
         };
         let names = self.upstream_names();
+        let names: Vec<UpstreamName> = names
+            .iter()
+            .map(|n| n.parse().expect("a valid name"))
+            .collect();
         let threads = names.chunks(names.len().div_ceil(self.threads.max(1)));
         let group = |names| Group {
             services: vec![spec(names)],
