--- a/crates/rig/src/fleet/mod.rs
+++ b/crates/rig/src/fleet/mod.rs
@@ -21,6 +21,12 @@
 /// Longest wait for an instance to become ready.
 const READY_WAIT: Duration = Duration::from_secs(20);
 
+/// Ports of instances: below those that Linux gives to outgoing connections.
+const PORTS: std::ops::Range<u16> = 12_000..32_000;
+
+/// Distance between the first ports of two processes whose ids follow each other.
+const PORT_STEP: u16 = 97;
+
 /// Why a set-up did not start.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -291,7 +297,21 @@
     Ok(folder)
 }
 
+/// Returns a free port that the system does not give to outgoing connections, so that an instance
+/// finds it free again after a restart.
 fn free_port() -> Result<SocketAddr, Error> {
-    let listener = TcpListener::bind("127.0.0.1:0").context(IoSnafu { what: "port" })?;
-    listener.local_addr().context(IoSnafu { what: "port" })
+    static TRIED: std::sync::atomic::AtomicU16 = std::sync::atomic::AtomicU16::new(0);
+    let count = PORTS.end - PORTS.start;
+    let first = u16::try_from(std::process::id() % u32::from(count)).unwrap_or(0);
+    for _ in 0..count {
+        let tried = TRIED.fetch_add(1, std::sync::atomic::Ordering::Relaxed);
+        let port = PORTS.start + first.wrapping_mul(PORT_STEP).wrapping_add(tried) % count;
+        if let Ok(listener) = TcpListener::bind(("127.0.0.1", port)) {
+            return listener.local_addr().context(IoSnafu { what: "port" });
+        }
+    }
+    UnexpectedSnafu {
+        what: format!("no free port of {PORTS:?}"),
+    }
+    .fail()
 }
--- /dev/null
+++ b/crates/rig/src/report/classes.rs
@@ -0,0 +1,140 @@
+//! Classes: answers while one replica of each shard is lost, checked against the upstreams' record.
+
+use std::{collections::HashSet, time::Duration};
+
+use futures_util::future::join3;
+use serde_json::{Value, json};
+
+use super::{Error, Row, Target, millis, record, searches};
+use crate::{
+    fleet::{Fleet, FleetPlan, ServicePlan, control},
+    load::{self, Kept, Pace},
+    upstream::Params,
+};
+
+/// Searches a second of each class.
+const RATE: f64 = 60.0;
+/// Duration of the load, in seconds.
+const SECONDS: f64 = 20.0;
+/// Time for which half of the upstreams are lost, in milliseconds.
+const LOST_MS: u64 = 19_000;
+/// Deadline of the entries, in milliseconds.
+const DEADLINE_MS: f64 = 180.0;
+/// Interval at which the upstreams' record is read, before its ring is full.
+const READ_INTERVAL: Duration = Duration::from_millis(1_500);
+
+/// Searches that upstreams answered: request, shard and snapshot.
+type Served = HashSet<(Box<str>, Box<str>, u64)>;
+
+/// Loses every second upstream under load of both classes.
+pub(super) async fn run() -> Result<Vec<Row>, Error> {
+    let service = ServicePlan {
+        upstreams: 10,
+        shards: 40,
+        threads: 2,
+        limits: json!({ "deadline": "180ms" }),
+        params: Params {
+            slots: 32,
+            service_us: 3_000,
+            ..Params::default()
+        },
+        ..ServicePlan::default()
+    };
+    let plan = FleetPlan {
+        data_centres: vec![("a".into(), 3)],
+        services: vec![service],
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(plan).await?;
+    let cfg = |entry| load::Config {
+        keep: true,
+        ..searches(&fleet, entry, Pace::Open(RATE), SECONDS)
+    };
+    let (coverage, latency) = (cfg("contracts-coverage"), cfg("contracts-latency"));
+    let loads = (load::run(&coverage), load::run(&latency));
+    let (coverage, latency, served) = join3(loads.0, loads.1, lose_and_read(&fleet)).await;
+    let (coverage, latency, served) = (coverage?, latency?, served?);
+    let complete = |r: &load::Report| 100.0 * r.coverage.full as f64 / r.all.count as f64;
+    let replies = coverage.kept.iter().chain(&latency.kept);
+    let contradicted = replies.filter(|reply| is_contradicted(reply, &served));
+    let on_time = latency.statuses.get(&200).copied().unwrap_or_default();
+    Ok(vec![
+        Row::new(
+            "classes: coverage class: complete answers, %",
+            complete(&coverage),
+            Target::AtLeast(99.9),
+        ),
+        Row::new(
+            "classes: latency class: complete answers, %",
+            complete(&latency),
+            Target::None,
+        ),
+        Row::new(
+            "classes: latency class: p99.9 of an answer, ms",
+            millis(on_time.p999),
+            Target::AtMost(DEADLINE_MS),
+        ),
+        Row::new(
+            format!(
+                "classes: of {} answers, those that the upstreams' record contradicts",
+                coverage.kept.len() + latency.kept.len()
+            ),
+            contradicted.count() as f64,
+            Target::AtMost(0.0),
+        ),
+    ])
+}
+
+/// Loses half of the upstreams and collects every upstream's record until they are back.
+async fn lose_and_read(fleet: &Fleet) -> Result<Served, Error> {
+    let mut served = Served::new();
+    compio::time::sleep(READ_INTERVAL).await;
+    read_all(fleet, &mut served).await;
+    for upstream in fleet.upstreams.iter().step_by(2) {
+        let lost = json!({ "restart_ms": LOST_MS, "crash": true });
+        control(upstream.address, &lost).await?;
+    }
+    let reads = (Duration::from_secs_f64(SECONDS) + READ_INTERVAL).div_duration_f64(READ_INTERVAL);
+    for _ in 0..reads.ceil() as u32 {
+        compio::time::sleep(READ_INTERVAL).await;
+        read_all(fleet, &mut served).await;
+    }
+    Ok(served)
+}
+
+/// Reads the record of the upstreams that can be reached; a lost one keeps its own.
+async fn read_all(fleet: &Fleet, served: &mut Served) {
+    for upstream in &fleet.upstreams {
+        let Ok(record) = record(upstream.address).await else {
+            continue;
+        };
+        for search in record.served {
+            if let Some((request, _attempt)) = search.request.rsplit_once('-') {
+                served.insert((request.into(), search.shard, search.snapshot));
+            }
+        }
+    }
+}
+
+/// Returns whether an answer claims a shard that no upstream has answered for it.
+fn is_contradicted(reply: &Kept, served: &Served) -> bool {
+    if reply.status != 200 {
+        return false;
+    }
+    let answer: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+    let coverage = &answer["coverage"];
+    let (Some(request), Some(snapshot), Some(asked), Some(missing)) = (
+        answer["request"].as_str(),
+        answer["snapshot"].as_u64(),
+        coverage["asked"].as_u64(),
+        coverage["missing"].as_array(),
+    ) else {
+        return true;
+    };
+    let missing: HashSet<&str> = missing.iter().filter_map(Value::as_str).collect();
+    let claimed = (0..asked)
+        .map(|n| Box::<str>::from(format!("shard-{n:03}")))
+        .filter(|shard| !missing.contains(&**shard));
+    let mut claimed = claimed.map(|shard| (request.into(), shard, snapshot));
+    claimed.any(|claim| !served.contains(&claim))
+}
--- a/crates/rig/src/report/mod.rs
+++ b/crates/rig/src/report/mod.rs
@@ -1,24 +1,27 @@
 //! Measures the targets of the policy on separate processes, with the baseline of the same build.
 
+mod classes;
+mod scarce;
 mod speed;
 mod stragglers;
 mod table;
 
-use std::time::Duration;
+use std::{net::SocketAddr, time::Duration};
 
 use bytes::Bytes;
 use serde_json::Value;
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 
 pub use table::{Row, Target};
 
 use crate::{
     fleet::{self, Fleet},
     load::{self, Config, Kind, Pace},
+    upstream,
 };
 
 /// Experiments in the order in which they run.
-pub const EXPERIMENTS: [&str; 2] = ["speed", "stragglers"];
+pub const EXPERIMENTS: [&str; 4] = ["speed", "stragglers", "scarce", "classes"];
 
 /// Bodies of the searches.
 const BODIES: [&str; 4] = [
@@ -55,6 +58,12 @@
         /// Cause.
         source: load::Error,
     },
+    /// An upstream's record could not be read.
+    #[snafu(display("record of an upstream: {source}"))]
+    Record {
+        /// Cause.
+        source: serde_json::Error,
+    },
 }
 
 /// Runs the experiments of these names, or all of them, and prints each one's rows.
@@ -83,6 +92,8 @@
 async fn experiment(name: &str) -> Result<Vec<Row>, Error> {
     match name {
         "speed" => speed::run().await,
+        "scarce" => scarce::run().await,
+        "classes" => classes::run().await,
         _ => stragglers::run().await,
     }
 }
@@ -109,6 +120,24 @@
     status["counts"][name].as_f64().unwrap_or(f64::NAN)
 }
 
+/// Returns counts of the instances' statuses, each added up over all instances.
+async fn counts(fleet: &Fleet, names: &[&str]) -> Result<Vec<f64>, Error> {
+    let mut sums = vec![0.0; names.len()];
+    for index in 0..fleet.instances.len() {
+        let status = fleet.status(index).await?;
+        for (sum, name) in sums.iter_mut().zip(names) {
+            *sum += count(&status, name);
+        }
+    }
+    Ok(sums)
+}
+
+/// Reads an upstream's own record.
+async fn record(upstream: SocketAddr) -> Result<upstream::Report, Error> {
+    let record = fleet::get_json(upstream, "/control").await?;
+    serde_json::from_value(record).context(RecordSnafu)
+}
+
 /// Returns microseconds as milliseconds.
 fn millis(micros: u64) -> f64 {
     Duration::from_micros(micros).as_secs_f64() * 1_000.0
--- /dev/null
+++ b/crates/rig/src/report/scarce.rs
@@ -0,0 +1,241 @@
+//! Scarce connections and slots: the limits of upstreams, goodput under overload, extra load.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use futures_util::future::join;
+use hdrhistogram::Histogram;
+use serde_json::json;
+
+use super::{Error, Row, Target, WARM_UP, counts, millis, record, searches};
+use crate::{
+    fleet::{Fleet, FleetPlan, ServicePlan, control},
+    load::{self, Pace},
+    upstream::Params,
+};
+
+/// Instances of the data centre.
+const INSTANCES: usize = 17;
+/// Time that each sub-request holds its slot, in microseconds.
+const SERVICE_US: u64 = 10_000;
+/// Slots and connections of a stand-in that enforces no limit but counts.
+const UNLIMITED: usize = 10_000;
+/// Instances that are killed and paused in turn.
+const DISTURBED: usize = 6;
+/// Pause between a kill and the restart.
+const DEAD: Duration = Duration::from_millis(600);
+/// Time for which an instance is paused.
+const PAUSED: Duration = Duration::from_millis(1_500);
+/// Loads as multiples of the capacity.
+const MULTIPLES: [f64; 4] = [0.5, 1.0, 2.0, 4.0];
+/// Duration of each load, in seconds.
+const SECONDS: f64 = 6.0;
+/// Load while an upstream is down, as a multiple of the capacity.
+const LOAD_WHILE_DOWN: f64 = 0.3;
+/// Latency of a refusal that counts as immediate, in milliseconds.
+const IMMEDIATE_MS: f64 = 20.0;
+
+/// A service at one of today's sizes.
+#[derive(Clone, Copy)]
+struct Size {
+    slots: usize,
+    connections: usize,
+    connect_us: u64,
+    upstreams: usize,
+}
+
+const SIZES: [Size; 2] = [
+    Size {
+        slots: 2,
+        connections: 50,
+        connect_us: 6_000,
+        upstreams: 2,
+    },
+    Size {
+        slots: 3,
+        connections: 230,
+        connect_us: 1_000,
+        upstreams: 6,
+    },
+];
+
+impl Size {
+    /// Returns the searches a second that keep all slots busy; each search asks every shard once.
+    fn capacity(self) -> f64 {
+        let busy = Duration::from_micros(SERVICE_US).as_secs_f64();
+        self.slots as f64 / busy * self.upstreams as f64 / self.shards() as f64
+    }
+
+    fn shards(self) -> usize {
+        self.upstreams
+    }
+
+    fn row(self, name: &str, after: f64, target: Target) -> Row {
+        let Self {
+            slots, connections, ..
+        } = self;
+        let name = format!("scarce: {slots} slots, {connections} connections: {name}");
+        Row::new(name, after, target)
+    }
+
+    async fn start(self, enforced: bool) -> Result<Fleet, Error> {
+        let (slots, connections) = if enforced {
+            (self.slots, self.connections)
+        } else {
+            (UNLIMITED, UNLIMITED)
+        };
+        let service = ServicePlan {
+            upstreams: self.upstreams,
+            shards: self.shards(),
+            declared: Some((self.slots, self.connections)),
+            params: Params {
+                slots,
+                connections,
+                connect_us: self.connect_us,
+                service_us: SERVICE_US,
+                ..Params::default()
+            },
+            ..ServicePlan::default()
+        };
+        let plan = FleetPlan {
+            data_centres: vec![("a".into(), INSTANCES)],
+            services: vec![service],
+            ..FleetPlan::default()
+        };
+        Ok(Fleet::start(plan).await?)
+    }
+}
+
+/// Measures both sizes.
+pub(super) async fn run() -> Result<Vec<Row>, Error> {
+    let mut rows = Vec::new();
+    for size in SIZES {
+        rows.extend(limits(size).await?);
+        rows.extend(goodput(size).await?);
+    }
+    Ok(rows)
+}
+
+/// Counts what upstreams that enforce nothing get while instances die, join and stand still.
+async fn limits(size: Size) -> Result<Vec<Row>, Error> {
+    let mut fleet = size.start(false).await?;
+    let seconds = (DEAD + PAUSED).as_secs_f64() * DISTURBED as f64 + 1.0;
+    let cfg = searches(
+        &fleet,
+        "contracts-latency",
+        Pace::Open(size.capacity()),
+        seconds,
+    );
+    let (report, disturbed) = join(load::run(&cfg), disturb(&mut fleet)).await;
+    disturbed?;
+    let answered = report?.coverage;
+    let (mut in_work, mut connections) = (0, 0);
+    for upstream in &fleet.upstreams {
+        let record = record(upstream.address).await?;
+        in_work = in_work.max(record.max_in_work);
+        connections = connections.max(record.max_connections);
+    }
+    Ok(vec![
+        size.row(
+            "most in work at an upstream",
+            in_work as f64,
+            Target::AtMost(size.slots as f64),
+        ),
+        size.row(
+            "most connections of an upstream",
+            connections as f64,
+            Target::AtMost(size.connections as f64),
+        ),
+        size.row(
+            "complete answers meanwhile, %",
+            100.0 * answered.full as f64 / (answered.full + answered.partial) as f64,
+            Target::None,
+        ),
+    ])
+}
+
+/// Kills, restarts, pauses and resumes instances in turn.
+async fn disturb(fleet: &mut Fleet) -> Result<(), Error> {
+    for index in 0..DISTURBED {
+        fleet.instances[index].process.kill();
+        compio::time::sleep(DEAD).await;
+        fleet.restart(index)?;
+        let paused = &fleet.instances[index + DISTURBED].process;
+        paused.pause();
+        compio::time::sleep(PAUSED).await;
+        paused.resume();
+    }
+    Ok(())
+}
+
+/// Measures goodput at multiples of the capacity, and extra load while an upstream is down.
+async fn goodput(size: Size) -> Result<Vec<Row>, Error> {
+    let fleet = size.start(true).await?;
+    let cfg = |multiple, seconds| load::Config {
+        keep: true,
+        ..searches(
+            &fleet,
+            "contracts-latency",
+            Pace::Open(size.capacity() * multiple),
+            seconds,
+        )
+    };
+    load::run(&cfg(0.5, WARM_UP.as_secs_f64())).await?;
+    let mut rows = Vec::new();
+    let mut peak: f64 = 0.0;
+    for multiple in MULTIPLES {
+        let report = load::run(&cfg(multiple, SECONDS)).await?;
+        let good = report.coverage.full as f64 / report.seconds;
+        peak = peak.max(good);
+        let name = format!("complete answers/s at {multiple} times capacity");
+        rows.push(size.row(&name, good, Target::None));
+        if multiple == MULTIPLES[MULTIPLES.len() - 1] {
+            let name = "complete answers/s at 4 times capacity, against the peak";
+            rows.push(
+                size.row(name, good, Target::RatioAtLeast(0.9))
+                    .against(peak),
+            );
+            rows.extend(refusals(size, &report));
+        }
+    }
+    rows.push(extra_while_down(size, &fleet).await?);
+    Ok(rows)
+}
+
+fn refusals(size: Size, report: &load::Report) -> Vec<Row> {
+    let refused: Vec<_> = report.kept.iter().filter(|r| r.status != 200).collect();
+    let mut latencies = Histogram::<u64>::new(3).expect("three digits are allowed");
+    let mut statuses = BTreeMap::<u16, usize>::new();
+    for reply in &refused {
+        latencies.saturating_record(u64::try_from(reply.latency.as_micros()).unwrap_or(u64::MAX));
+        *statuses.entry(reply.status).or_default() += 1;
+    }
+    let without = refused.iter().filter(|r| !r.retry_after).count() as f64;
+    let p99 = millis(latencies.value_at_quantile(0.99));
+    let name = format!("refusals at 4 times capacity ({statuses:?}): p99, ms");
+    vec![
+        size.row(&name, p99, Target::AtMost(IMMEDIATE_MS)),
+        size.row("refusals without Retry-After", without, Target::AtMost(0.0)),
+        size.row(
+            "requests without a reply",
+            report.failed as f64,
+            Target::AtMost(0.0),
+        ),
+    ]
+}
+
+async fn extra_while_down(size: Size, fleet: &Fleet) -> Result<Row, Error> {
+    let before = counts(fleet, &["hedges", "retries", "first_attempts"]).await?;
+    let down = json!({ "restart_ms": 60_000, "crash": true });
+    control(fleet.upstreams[0].address, &down).await?;
+    let pace = Pace::Open(size.capacity() * LOAD_WHILE_DOWN);
+    load::run(&searches(fleet, "contracts-latency", pace, 2.0 * SECONDS)).await?;
+    compio::time::sleep(Duration::from_millis(300)).await;
+    let after = counts(fleet, &["hedges", "retries", "first_attempts"]).await?;
+    let extra = after[0] + after[1] - before[0] - before[1];
+    let share = 100.0 * extra / (after[2] - before[2]);
+    Ok(size.row(
+        "extra sub-requests while an upstream is down, %",
+        share,
+        Target::AtMost(10.0),
+    ))
+}
