--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -200,6 +200,11 @@
         wakes.into_iter().flatten().min()
     }
 
+    /// Returns whether a live peer of a data centre is known.
+    pub fn knows_peers_in(&self, data_centre: &DataCentre) -> bool {
+        self.members.live_in(data_centre).next().is_some()
+    }
+
     /// Returns counts and gauges.
     pub fn stats(&self) -> &Stats {
         &self.stats
--- /dev/null
+++ b/crates/rig/src/bench/catalogue.rs
@@ -0,0 +1,63 @@
+//! The catalogue: reading it and compiling it for the request path.
+
+use cat::Catalogue;
+use node::directory::Directory;
+
+use super::{
+    meter::{micros, resident, timed},
+    scale::Scale,
+    sweep::Sweep,
+};
+
+/// Sweeps the entries of one service, and the upstreams of many services.
+pub(super) fn run() {
+    let columns = [
+        "KB",
+        "ms to read",
+        "ms to compile",
+        "MB resident",
+        "is read",
+    ];
+    let mut entries = Sweep::new("catalogue, entries", "entries", &columns);
+    for count in [10, 100, 1_000, 2_000, 4_000, 10_000] {
+        let scale = Scale {
+            entries: count,
+            upstreams: 10,
+            shards: 10,
+            ..Scale::default()
+        };
+        entries.add(count, &measure(scale));
+    }
+    entries.finish();
+    let mut upstreams = Sweep::new("catalogue, upstreams", "upstreams", &columns);
+    for services in [1, 2, 6, 12, 16, 54, 162] {
+        let scale = Scale {
+            services,
+            ..Scale::default()
+        };
+        upstreams.add(services * scale.upstreams, &measure(scale));
+    }
+    upstreams.finish();
+}
+
+fn measure(scale: Scale) -> [f64; 5] {
+    let document = scale.catalogue().to_json();
+    let (read, reading) = timed(|| Catalogue::from_json(&document));
+    // The platform holds no larger document, so a larger one is compiled unread.
+    let is_read = read.is_ok();
+    let catalogue = read.unwrap_or_else(|_| scale.catalogue());
+    let indexes: Vec<_> = (0..scale.services).map(|s| scale.index(s)).collect();
+    let find = |name: &base::ServiceName| indexes.iter().find(|i| i.service == *name);
+    let before = resident();
+    let mut directory = Directory::default();
+    let (declared, compiling) = timed(|| directory.rebuild(&catalogue, find));
+    let memory = resident() - before;
+    drop(declared);
+    [
+        document.len() as f64 / 1e3,
+        micros(reading) / 1e3,
+        micros(compiling) / 1e3,
+        memory / 1e6,
+        f64::from(u8::from(is_read)),
+    ]
+}
--- /dev/null
+++ b/crates/rig/src/bench/connections.rs
@@ -0,0 +1,125 @@
+//! Connections that a pool holds: memory of this process for each.
+
+use std::time::{Duration, Instant};
+
+use base::{AttemptId, RequestId, SnapshotId};
+use bytes::Bytes;
+use compio::runtime::Runtime;
+use futures_channel::mpsc::{UnboundedReceiver, unbounded};
+use futures_util::StreamExt;
+use node::{Echo, Event, Send, SubRequest, UpstreamEvent};
+use up::{Pools, Settings};
+
+use super::{
+    Error,
+    meter::{micros, resident},
+    scale::name,
+    sweep::Sweep,
+};
+use crate::{
+    fleet::{Fleet, FleetPlan, ServicePlan},
+    sim::thread_time,
+    upstream::Params,
+};
+
+/// Connections of the largest point.
+const MOST: usize = 2_000;
+
+/// Time for which the connections stand idle.
+const IDLE: Duration = Duration::from_secs(2);
+
+/// Sweeps the connections to one stand-in upstream, which is another process.
+pub(super) fn run() -> Result<(), Error> {
+    let columns = ["MB resident", "KB/connection", "us to open", "us/s idle"];
+    let mut sweep = Sweep::new("connections of one pool", "connections", &columns);
+    let runtime = Runtime::new()?;
+    runtime.block_on(async {
+        let fleet = Fleet::start(plan()).await?;
+        for count in [10, 100, 250, 500, 1_000, MOST] {
+            sweep.add(count, &hold(&fleet, count).await);
+        }
+        Ok::<_, Error>(())
+    })?;
+    sweep.finish();
+    Ok(())
+}
+
+fn plan() -> FleetPlan {
+    let service = ServicePlan {
+        upstreams: 1,
+        shards: 1,
+        replicas: 1,
+        params: Params {
+            slots: MOST,
+            queue: MOST,
+            connections: MOST,
+            service_us: 1_000_000,
+            ..Params::default()
+        },
+        ..ServicePlan::default()
+    };
+    FleetPlan {
+        services: vec![service],
+        ..FleetPlan::default()
+    }
+}
+
+async fn hold(fleet: &Fleet, count: usize) -> [f64; 4] {
+    let settings = Settings {
+        idle_connections: MOST,
+        ..Settings::default()
+    };
+    let before = resident();
+    let (events, mut reports) = unbounded();
+    let pools = Pools::new(settings, events);
+    let start = thread_time();
+    for number in 1..=count {
+        pools.send(request(fleet, number, count));
+    }
+    let replies = collect(&mut reports, count).await;
+    assert_eq!(replies, count, "a request has no reply");
+    assert_eq!(pools.connections(), count, "connections were shared");
+    let opened = thread_time();
+    compio::time::sleep(IDLE).await;
+    let idle = thread_time().saturating_sub(opened);
+    let memory = (resident() - before).max(0.0);
+    [
+        memory / 1e6,
+        memory / 1e3 / count as f64,
+        micros(opened.saturating_sub(start)) / count as f64,
+        micros(idle) / IDLE.as_secs_f64(),
+    ]
+}
+
+async fn collect(reports: &mut UnboundedReceiver<Event>, count: usize) -> usize {
+    let end = Instant::now() + Duration::from_secs(20);
+    let mut replies = 0;
+    while replies < count && Instant::now() < end {
+        match reports.next().await {
+            Some(Event::Upstream(_, UpstreamEvent::Replied(_))) => replies += 1,
+            Some(_) => {}
+            None => break,
+        }
+    }
+    replies
+}
+
+fn request(fleet: &Fleet, number: usize, connections: usize) -> Send {
+    let number = number as u64;
+    Send {
+        attempt: AttemptId(number),
+        address: fleet.upstreams[0].address,
+        connections: u32::try_from(connections).unwrap_or(u32::MAX),
+        timeout: Duration::from_secs(15),
+        sub: SubRequest::Search {
+            echo: Echo {
+                request: RequestId(1),
+                attempt: number,
+                snapshot: SnapshotId(1),
+                shard: name("shard-000".into()),
+            },
+            limit: 5,
+            body: Bytes::from_static(br#"{"query":"harp","limit":5}"#),
+        },
+    }
+}
--- /dev/null
+++ b/crates/rig/src/bench/faults.rs
@@ -0,0 +1,135 @@
+//! What the loss and the restart of many instances costs, and when their view is whole again.
+
+use std::time::Duration;
+
+use base::DataCentre;
+
+use super::{members, meter::micros, scale::Scale, sweep::Sweep};
+use crate::sim::{Cost, Fault, Plan, World};
+
+/// Time after the start at which the fault happens.
+const SETTLE: Duration = Duration::from_secs(15);
+
+/// Time over which its cost is counted.
+const COUNTED: Duration = Duration::from_secs(30);
+
+/// Resolution of the time to settle.
+const STEP: Duration = Duration::from_millis(50);
+
+/// Time that an instance takes to start again.
+const RESTART: Duration = Duration::from_secs(2);
+
+const COLUMNS: [&str; 6] = [
+    "s to settle",
+    "messages/s each",
+    "bytes/s each",
+    "most bytes/s",
+    "us/s each",
+    "platform calls",
+];
+
+/// Sweeps the instances that are lost, that restart, and the length of a cut.
+pub(super) fn run() {
+    let mut sweep = Sweep::new("instances of 93 lost at once", "lost", &COLUMNS);
+    for lost in [0, 1, 5, 10, 20, 46] {
+        let mut world = world(vec![Scale::data_centre(0); 93]);
+        for instance in 93 - lost..93 {
+            let restart = COUNTED * 10;
+            world.fault_in(Duration::ZERO, Fault::Crash { instance, restart });
+        }
+        let settled = |w: &World| sees(w, 0..93 - lost, 92 - lost as u64);
+        sweep.add(lost, &follow(&mut world, 93 - lost, settled));
+    }
+    sweep.finish();
+    let mut sweep = Sweep::new("all instances restart at once", "instances", &COLUMNS);
+    for count in [4, 17, 40, 93] {
+        let mut world = world(vec![Scale::data_centre(0); count]);
+        for instance in 0..count {
+            let restart = RESTART;
+            world.fault_in(Duration::ZERO, Fault::Crash { instance, restart });
+        }
+        let settled = |w: &World| sees(w, 0..count, count as u64 - 1);
+        sweep.add(count, &follow(&mut world, count, settled));
+    }
+    sweep.finish();
+    let mut sweep = Sweep::new("a cut between 3 data centres of 10", "seconds", &COLUMNS);
+    for seconds in [10, 60, 600, 3_600] {
+        let places = (0..30).map(|i| Scale::data_centre(i / 10));
+        let mut world = world(places.collect());
+        let length = Duration::from_secs(seconds);
+        cut(&mut world, length);
+        world.advance(length);
+        let settled = |w: &World| {
+            let knows = |i: usize| far_peers(w, i) == 2;
+            (0..3).all(|dc| (dc * 10..dc * 10 + 10).any(knows))
+        };
+        sweep.add(
+            usize::try_from(seconds).unwrap_or(0),
+            &follow(&mut world, 30, settled),
+        );
+    }
+    sweep.finish();
+}
+
+fn world(places: Vec<DataCentre>) -> World {
+    let mut world = World::new(Plan {
+        instances: places.clone(),
+        ..members::plan(places.len())
+    });
+    world.advance(SETTLE);
+    world
+}
+
+/// Returns whether each running instance counts so many live peers and serves.
+fn sees(world: &World, instances: std::ops::Range<usize>, peers: u64) -> bool {
+    let whole = |i: usize| {
+        let stats = world.node(i).map(|n| *n.stats());
+        stats.is_some_and(|s| s.peers_live == peers && s.ready)
+    };
+    instances.into_iter().all(whole)
+}
+
+/// Returns how many other data centres an instance knows a live member of.
+fn far_peers(world: &World, instance: usize) -> usize {
+    let own = instance / 10;
+    let node = world.node(instance);
+    let knows = |dc: &usize| node.is_some_and(|n| n.knows_peers_in(&Scale::data_centre(*dc)));
+    (0..3).filter(|dc| *dc != own).filter(knows).count()
+}
+
+fn cut(world: &mut World, length: Duration) {
+    for a in 0..30 {
+        for b in (a + 1..30).filter(|b| a / 10 != b / 10) {
+            world.fault_in(Duration::ZERO, Fault::Cut { a, b, length });
+        }
+    }
+}
+
+/// Counts what the first instances use until a while after the fault.
+fn follow(world: &mut World, instances: usize, settled: impl Fn(&World) -> bool) -> [f64; 6] {
+    let start: Vec<Cost> = (0..instances).map(|i| world.cost(i)).collect();
+    let (calls, _) = world.platform_load();
+    let began = world.now();
+    let mut last_unsettled = Duration::ZERO;
+    while world.now().since(began) < COUNTED {
+        world.advance(STEP);
+        if !settled(world) {
+            last_unsettled = world.now().since(began);
+        }
+    }
+    let costs: Vec<Cost> = (0..instances)
+        .map(|i| world.cost(i).since(start[i]))
+        .collect();
+    let a_second = |value: fn(&Cost) -> f64| {
+        costs.iter().map(value).sum::<f64>() / instances as f64 / COUNTED.as_secs_f64()
+    };
+    let most = costs.iter().map(|c| c.bytes).max().unwrap_or(0);
+    [
+        last_unsettled.as_secs_f64(),
+        a_second(|c| c.messages as f64),
+        a_second(|c| c.bytes as f64),
+        most as f64 / COUNTED.as_secs_f64(),
+        a_second(|c| micros(c.processor)),
+        (world.platform_load().0 - calls) as f64,
+    ]
+}
--- /dev/null
+++ b/crates/rig/src/bench/shards.rs
@@ -0,0 +1,267 @@
+//! Shards of a query: what the reducer spends, direct and over the owners of the upstreams.
+
+use std::time::Duration;
+
+use base::{CallId, RequestId};
+use bytes::Bytes;
+use node::{Call, Event, Hit, Reply, Send, SubRequest, UpstreamEvent};
+use prost::Message;
+use wire::{Body, Envelope, Relay, RelayPart, RelayResult, Relayed, ResultCode};
+
+use super::{
+    meter::{micros, timed},
+    scale::{Scale, name},
+    solo::{Solo, message},
+    sweep::Sweep,
+};
+
+/// Instances besides the one that is measured.
+const PEERS: usize = 92;
+
+/// Queries of one point.
+const QUERIES: usize = 30;
+
+/// Hits of each reply.
+const HITS: usize = 2;
+
+const SHARDS: [usize; 8] = [1, 10, 50, 100, 200, 350, 500, 700];
+
+const BODY: &[u8] = br#"{"query":"harpist cardiff","limit":5}"#;
+
+/// Sweeps the shards of a query, and the parts of one relay at an owner.
+pub(super) fn run() {
+    direct();
+    coordinator();
+    owner();
+}
+
+fn direct() {
+    let columns = ["us/query", "us/sub-request"];
+    let mut sweep = Sweep::new("query, direct to the upstreams", "shards", &columns);
+    for shards in SHARDS {
+        let mut solo = start(0, shards);
+        let mut spent = Duration::ZERO;
+        for query in 0..=QUERIES {
+            let taken = solo.cost([search(query)]) + answer_sends(&mut solo);
+            spent += if query == 0 { Duration::ZERO } else { taken };
+        }
+        assert_eq!(solo.answers, QUERIES + 1, "a query has no answer");
+        let each = micros(spent) / QUERIES as f64;
+        sweep.add(shards, &[each, each / shards as f64]);
+    }
+    sweep.finish();
+}
+
+/// Measures the instance that has the caller; the owners are stand-ins.
+fn coordinator() {
+    let columns = [
+        "us/query",
+        "us/sub-request",
+        "relays",
+        "relay B/part",
+        "result B/part",
+        "codec us/part",
+    ];
+    let mut sweep = Sweep::new("query, over 93 owners, coordinator", "shards", &columns);
+    for shards in SHARDS {
+        let mut solo = start(PEERS, shards);
+        let mut total = Traffic::default();
+        let mut spent = Duration::ZERO;
+        for query in 0..=QUERIES {
+            let mut traffic = Traffic::default();
+            let taken = solo.cost([search(query)]) + answer_all(&mut solo, &mut traffic);
+            if query > 0 {
+                spent += taken;
+                total.add(&traffic);
+            }
+        }
+        assert_eq!(solo.answers, QUERIES + 1, "a query has no answer");
+        let each = micros(spent) / QUERIES as f64;
+        let parts = total.parts.max(1) as f64;
+        sweep.add(
+            shards,
+            &[
+                each,
+                each / shards as f64,
+                total.relays as f64 / QUERIES as f64,
+                total.relay_bytes as f64 / parts,
+                total.result_bytes as f64 / parts,
+                micros(total.codec) / parts,
+            ],
+        );
+    }
+    sweep.finish();
+}
+
+/// Measures an instance that owns upstreams and is sent relays.
+fn owner() {
+    let columns = ["us/relay", "us/part", "relay B/part", "result B/part"];
+    let mut sweep = Sweep::new("relay, owner", "parts", &columns);
+    for parts in [1, 2, 4, 8, 16, 32] {
+        let mut solo = start(0, 700);
+        // A peer of another data centre, so that the instance still owns every upstream.
+        solo.heartbeat(1, |h| h.data_centre = Scale::data_centre(1).to_string());
+        let mut spent = Duration::ZERO;
+        let (mut asked, mut answered) = (0, 0);
+        for query in 0..=QUERIES {
+            let relay = relay(query, parts);
+            let message = message(1, Body::Relay(relay.clone()));
+            let taken = solo.cost([message]) + answer_sends(&mut solo);
+            let results = std::mem::take(&mut solo.relays);
+            spent += if query == 0 { Duration::ZERO } else { taken };
+            asked += size(&Body::Relay(relay));
+            answered += results.iter().map(|(_, m)| m.frame_bytes()).sum::<usize>();
+        }
+        let each = micros(spent) / QUERIES as f64;
+        let all = ((QUERIES + 1) * parts) as f64;
+        let (asked, answered) = (asked as f64 / all, answered as f64 / all);
+        sweep.add(parts, &[each, each / parts as f64, asked, answered]);
+    }
+    sweep.finish();
+}
+
+/// Messages of a query and what their encoding and decoding takes.
+#[derive(Default)]
+struct Traffic {
+    relays: usize,
+    parts: usize,
+    relay_bytes: usize,
+    result_bytes: usize,
+    codec: Duration,
+}
+
+impl Traffic {
+    fn add(&mut self, other: &Self) {
+        self.relays += other.relays;
+        self.parts += other.parts;
+        self.relay_bytes += other.relay_bytes;
+        self.result_bytes += other.result_bytes;
+        self.codec += other.codec;
+    }
+}
+
+fn start(peers: usize, shards: usize) -> Solo {
+    let scale = Scale {
+        shards,
+        ..Scale::default()
+    };
+    let solo = Solo::start(peers, scale.objects(1));
+    assert!(solo.node.stats().ready, "the instance is not ready");
+    solo
+}
+
+fn search(query: usize) -> Event {
+    let number = query as u64 + 1;
+    let call = Call::Search {
+        request: RequestId(u128::from(number)),
+        entry: name("entry-000-00000".into()),
+        deadline: None,
+        body: Bytes::from_static(BODY),
+    };
+    Event::Call(CallId(number), call)
+}
+
+fn hits() -> Vec<Hit> {
+    let hit = |score| Hit {
+        id: "d-000001".into(),
+        score,
+        text: "harp and choir in Cardiff".into(),
+    };
+    (0..HITS as u64).map(hit).collect()
+}
+
+/// Answers requests to upstreams until there are none; returns the reducer's time.
+fn answer_sends(solo: &mut Solo) -> Duration {
+    let mut spent = Duration::ZERO;
+    while !solo.sends.is_empty() {
+        let sends = std::mem::take(&mut solo.sends);
+        let replies: Vec<_> = sends.into_iter().filter_map(reply).collect();
+        spent += solo.cost(replies);
+    }
+    spent
+}
+
+fn reply(send: Send) -> Option<Event> {
+    let SubRequest::Search { echo, .. } = send.sub else {
+        return None;
+    };
+    let reply = Reply {
+        echo,
+        hits: hits(),
+        draining: false,
+    };
+    Some(Event::Upstream(send.attempt, UpstreamEvent::Replied(reply)))
+}
+
+/// Answers relays and requests to upstreams until there are none.
+fn answer_all(solo: &mut Solo, traffic: &mut Traffic) -> Duration {
+    let mut spent = answer_sends(solo);
+    while !solo.relays.is_empty() {
+        for (from, relay) in std::mem::take(&mut solo.relays) {
+            let Some(Body::Relay(asked)) = &relay.body else {
+                continue;
+            };
+            let results = asked.parts.iter().map(|part| result(asked, part)).collect();
+            let Event::Peer(answer) = message(from, Body::Relayed(Relayed { results })) else {
+                continue;
+            };
+            traffic.relays += 1;
+            traffic.parts += asked.parts.len();
+            traffic.relay_bytes += relay.frame_bytes();
+            traffic.result_bytes += answer.frame_bytes();
+            traffic.codec += timed(|| relay.encode_to_vec()).1;
+            let bytes = Bytes::from(answer.encode_to_vec());
+            let (answer, decoding) = timed(|| Envelope::decode(bytes));
+            traffic.codec += decoding;
+            spent += solo.cost(answer.ok().map(Event::Peer));
+        }
+        spent += answer_sends(solo);
+    }
+    spent
+}
+
+fn result(relay: &Relay, part: &RelayPart) -> RelayResult {
+    let hit = |hit: Hit| wire::Hit {
+        id: hit.id.into(),
+        score: hit.score,
+        text: hit.text.into(),
+    };
+    RelayResult {
+        attempt: part.attempt,
+        request: relay.request.clone(),
+        snapshot: relay.snapshot,
+        shard: part.shard.clone(),
+        code: ResultCode::Replied.into(),
+        hits: hits().into_iter().map(hit).collect(),
+        echo: part.echo,
+        ..RelayResult::default()
+    }
+}
+
+/// Makes a relay whose parts go to as many upstreams.
+fn relay(query: usize, parts: usize) -> Relay {
+    let part = |number: usize| RelayPart {
+        attempt: (query * 1_000 + number) as u64,
+        upstream: Scale::upstream(0, number).to_string(),
+        shard: format!("shard-{number:04}"),
+        probe: false,
+        echo: number as u64,
+    };
+    Relay {
+        request: Bytes::copy_from_slice(&(query as u128 + 1).to_be_bytes()),
+        service: Scale::service(0).to_string(),
+        snapshot: 1,
+        left_us: 150_000,
+        limit: 20,
+        body: Bytes::from_static(BODY),
+        parts: (0..parts).map(part).collect(),
+        hops: 1,
+    }
+}
+
+fn size(body: &Body) -> usize {
+    match message(1, body.clone()) {
+        Event::Peer(envelope) => envelope.frame_bytes(),
+        _ => 0,
+    }
+}
--- /dev/null
+++ b/crates/rig/src/bench/solo.rs
@@ -0,0 +1,263 @@
+//! One reducer whose peers and platform are played by stand-ins.
+
+use std::{
+    collections::BTreeMap,
+    net::{Ipv4Addr, SocketAddr},
+    time::Duration,
+};
+
+use base::{Incarnation, InstanceName, Time, Version};
+use bytes::Bytes;
+use node::{
+    Answer, Config, Effect, Event, Identity, Kind, Node, Object, PlatformEvent, PlatformOp, Send,
+};
+use wire::{Body, Envelope, Heartbeat, Objects, Released};
+
+use super::{
+    meter::timed,
+    scale::{Scale, name},
+};
+
+/// Time that a message or a call takes.
+const HOP: Duration = Duration::from_millis(1);
+
+/// Interval between two probes that reach the instance.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+
+/// One reducer, what it has cost and what it has sent.
+pub(super) struct Solo {
+    /// The reducer.
+    pub(super) node: Node,
+    /// Time of the next event.
+    pub(super) now: Time,
+    /// Processor time spent in the reducer.
+    pub(super) spent: Duration,
+    /// Size of the messages to peers, in bytes.
+    pub(super) sent_bytes: u64,
+    /// Messages to peers.
+    pub(super) messages: u64,
+    /// Calls to the platform.
+    pub(super) platform_calls: u64,
+    /// Requests to upstreams that the bench has not taken yet.
+    pub(super) sends: Vec<Send>,
+    /// Relays and their results that the bench has not taken yet.
+    pub(super) relays: Vec<(usize, Envelope)>,
+    /// Answers to callers.
+    pub(super) answers: usize,
+    peers: usize,
+    objects: Vec<Object>,
+    version: Version,
+    due: BTreeMap<(Time, u64), Event>,
+    sequence: u64,
+}
+
+impl Solo {
+    /// Makes an instance with so many live peers and puts the platform's objects in force.
+    pub(super) fn start(peers: usize, objects: Vec<(Kind, Box<str>, Bytes)>) -> Self {
+        let identity = Identity {
+            instance: peer(0),
+            data_centre: Scale::data_centre(0),
+            incarnation: Incarnation(1),
+            peers: address(0),
+        };
+        let mut solo = Self {
+            node: Node::new(identity, Config::default(), Time::ZERO, 1),
+            now: Time::ZERO,
+            spent: Duration::ZERO,
+            sent_bytes: 0,
+            messages: 0,
+            platform_calls: 0,
+            sends: Vec::new(),
+            relays: Vec::new(),
+            answers: 0,
+            peers,
+            objects: Vec::new(),
+            version: Version(0),
+            due: BTreeMap::new(),
+            sequence: 0,
+        };
+        solo.publish(objects);
+        for other in 1..=peers {
+            solo.heartbeat(other, |_| {});
+        }
+        solo.run(Duration::from_secs(6));
+        solo
+    }
+
+    /// Adds objects to the platform; the next watch sees them.
+    pub(super) fn publish(&mut self, objects: Vec<(Kind, Box<str>, Bytes)>) -> Vec<Object> {
+        let mut published = Vec::new();
+        for (kind, name, value) in objects {
+            self.version = self.version.next();
+            let version = self.version;
+            published.push(Object {
+                kind,
+                name,
+                version,
+                value,
+            });
+        }
+        self.objects.extend(published.iter().cloned());
+        published
+    }
+
+    /// Hands in a heartbeat of a peer.
+    pub(super) fn heartbeat(&mut self, from: usize, change: impl FnOnce(&mut Heartbeat)) {
+        let mut heartbeat = Heartbeat {
+            data_centre: Scale::data_centre(0).to_string(),
+            address: address(from).to_string(),
+            sequence: self.sequence,
+            answers: u64::MAX,
+            ..Heartbeat::default()
+        };
+        change(&mut heartbeat);
+        self.on(message(from, Body::Heartbeat(heartbeat)));
+    }
+
+    /// Lets peers probe the instance and answers it for a while.
+    pub(super) fn run(&mut self, length: Duration) {
+        let end = self.now + length;
+        let mut probe_at = self.now;
+        let mut from = 0;
+        while self.now < end {
+            let wake = self.node.next_wake().unwrap_or(Time::NEVER);
+            let due = self.due.keys().next().map_or(Time::NEVER, |(at, _)| *at);
+            let next = wake.min(due).min(probe_at).min(end);
+            self.now = next.max(self.now + Duration::from_micros(1));
+            if due <= self.now {
+                if let Some((_, event)) = self.due.pop_first() {
+                    self.on(event);
+                }
+            } else if probe_at <= self.now && self.peers > 0 {
+                probe_at = self.now + PROBE_INTERVAL;
+                from = from % self.peers + 1;
+                self.heartbeat(from, |h| h.probe = true);
+            } else {
+                probe_at = probe_at.max(self.now);
+                self.on(Event::Tick);
+            }
+        }
+    }
+
+    /// Hands in one event; counts what it costs and plays its effects.
+    pub(super) fn on(&mut self, event: Event) {
+        let mut effects = Vec::new();
+        let now = self.now;
+        let ((), spent) = timed(|| {
+            self.node.on(now, event, &mut effects);
+            self.node.settle(&mut effects);
+        });
+        self.spent += spent;
+        for effect in effects {
+            self.play(effect);
+        }
+    }
+
+    /// Returns the processor time that events take, one after the other.
+    pub(super) fn cost(&mut self, events: impl IntoIterator<Item = Event>) -> Duration {
+        let before = self.spent;
+        events.into_iter().for_each(|event| self.on(event));
+        self.spent - before
+    }
+
+    fn play(&mut self, effect: Effect) {
+        match effect {
+            Effect::Peer(to, body) => self.tell(to.name, body),
+            Effect::Platform(op, call) => {
+                self.platform_calls += 1;
+                let (wait, event) = self.call(call);
+                self.later(wait, Event::Platform(op, event));
+            }
+            Effect::Send(send) => self.sends.push(send),
+            Effect::Answer(_, Answer::Found(_)) => self.answers += 1,
+            Effect::Answer(..) | Effect::Cancel(_) | Effect::Note(_) | Effect::Stop => {}
+        }
+    }
+
+    fn call(&self, call: PlatformOp) -> (Duration, PlatformEvent) {
+        match call {
+            PlatformOp::Watch { after, wait } => {
+                let newer = self.objects.iter().filter(|o| o.version > after);
+                let objects: Vec<_> = newer.cloned().collect();
+                let wait = if objects.is_empty() { wait } else { HOP };
+                let seen = self.version;
+                (wait, PlatformEvent::Changed { objects, seen })
+            }
+            PlatformOp::Read { kind, name } => {
+                let found = self
+                    .objects
+                    .iter()
+                    .find(|o| o.kind == kind && o.name == name);
+                (HOP, PlatformEvent::Read(found.cloned()))
+            }
+            PlatformOp::Write { .. } => (HOP, PlatformEvent::Unavailable),
+        }
+    }
+
+    fn tell(&mut self, to: Option<InstanceName>, body: Body) {
+        let envelope = envelope(0, body);
+        self.messages += 1;
+        self.sent_bytes += envelope.frame_bytes() as u64;
+        let Some(to) = to.and_then(|to| number(&to)) else {
+            return;
+        };
+        match &envelope.body {
+            Some(Body::Heartbeat(heartbeat)) if heartbeat.probe => {
+                let heartbeat = Heartbeat {
+                    answers: heartbeat.sequence,
+                    ..Heartbeat::default()
+                };
+                self.later(HOP, message(to, Body::Heartbeat(heartbeat)));
+            }
+            Some(Body::Pull(pull)) => {
+                let (after, seen) = (pull.after, pull.after);
+                let objects = Vec::new();
+                let answer = Objects {
+                    objects,
+                    after,
+                    seen,
+                };
+                let wait = Duration::from_millis(pull.wait_ms).max(HOP);
+                self.later(wait, message(to, Body::Objects(answer)));
+            }
+            Some(Body::Handover(handover)) => {
+                let upstreams = handover.upstreams.clone();
+                self.later(HOP, message(to, Body::Released(Released { upstreams })));
+            }
+            Some(Body::Relay(_) | Body::Relayed(_)) => self.relays.push((to, envelope)),
+            _ => {}
+        }
+    }
+
+    fn later(&mut self, wait: Duration, event: Event) {
+        self.sequence += 1;
+        self.due.insert((self.now + wait, self.sequence), event);
+    }
+}
+
+/// Returns the name of a peer; 0 is the instance itself.
+pub(super) fn peer(number: usize) -> InstanceName {
+    name(format!("entry-{number:03}"))
+}
+
+fn number(name: &InstanceName) -> Option<usize> {
+    name.as_str().rsplit('-').next()?.parse().ok()
+}
+
+fn address(number: usize) -> SocketAddr {
+    let low = u8::try_from(number + 1).unwrap_or(u8::MAX);
+    SocketAddr::from((Ipv4Addr::new(10, 0, 0, low), 7_400))
+}
+
+fn envelope(from: usize, body: Body) -> Envelope {
+    Envelope {
+        from: peer(from).to_string(),
+        incarnation: 1,
+        body: Some(body),
+    }
+}
+
+/// Makes the event of a peer's message.
+pub(super) fn message(from: usize, body: Body) -> Event {
+    Event::Peer(envelope(from, body))
+}
--- /dev/null
+++ b/crates/rig/src/bench/sync.rs
@@ -0,0 +1,82 @@
+//! How a revision of the catalogue reaches every instance of a data centre.
+
+use std::time::Duration;
+
+use super::{members, meter::micros, scale::Scale, sweep::Sweep};
+use crate::sim::{Cost, Scene, World};
+
+/// Time after the start at which the revision is published.
+const SETTLE: Duration = Duration::from_secs(15);
+
+/// Longest time that a revision may take.
+const LONGEST: Duration = Duration::from_secs(20);
+
+/// Resolution of the time to all.
+const STEP: Duration = Duration::from_millis(10);
+
+const COLUMNS: [&str; 6] = [
+    "document KB",
+    "ms to all",
+    "messages",
+    "KB",
+    "KB most",
+    "ms each",
+];
+
+/// Sweeps the instances with a small document, and the document with 93 instances.
+pub(super) fn run() {
+    let mut sweep = Sweep::new("a revision of one service", "instances", &COLUMNS);
+    for instances in [4, 17, 40, 93] {
+        sweep.add(instances, &measure(instances, 1));
+    }
+    sweep.finish();
+    let mut sweep = Sweep::new("a revision at 93 instances", "upstreams", &COLUMNS);
+    for services in [1, 2, 4, 6] {
+        sweep.add(services * 740, &measure(93, services));
+    }
+    sweep.finish();
+}
+
+/// Returns what the revision costs beyond the steady state, over all instances but for `most`.
+fn measure(instances: usize, services: usize) -> [f64; 6] {
+    let scale = Scale {
+        services,
+        ..Scale::default()
+    };
+    let mut world = World::new(members::plan(instances));
+    world.advance(SETTLE);
+    let quiet = costs(&world, instances);
+    world.advance(LONGEST);
+    let start = costs(&world, instances);
+    let document = scale.catalogue().to_json().len() as f64 / 1e3;
+    let began = world.now();
+    for (kind, name, value) in Scene::objects(&scale.catalogue(), 2) {
+        world.publish(kind, &name, value);
+    }
+    let mut reached = LONGEST;
+    while world.now().since(began) < LONGEST {
+        world.advance(STEP);
+        let follows = |i: usize| world.node(i).is_some_and(|n| n.stats().revision.0 == 2);
+        if reached == LONGEST && (0..instances).all(follows) {
+            reached = world.now().since(began);
+        }
+    }
+    let end = costs(&world, instances);
+    let extra = |value: fn(&Cost) -> f64| {
+        let of = |i: usize| value(&end[i].since(start[i])) - value(&start[i].since(quiet[i]));
+        (0..instances).map(of).collect::<Vec<f64>>()
+    };
+    let bytes = extra(|c| c.bytes as f64);
+    [
+        document,
+        reached.as_secs_f64() * 1e3,
+        extra(|c| c.messages as f64).iter().sum(),
+        bytes.iter().sum::<f64>() / 1e3,
+        bytes.iter().copied().fold(0.0, f64::max) / 1e3,
+        extra(|c| micros(c.processor)).iter().sum::<f64>() / 1e3 / instances as f64,
+    ]
+}
+
+fn costs(world: &World, instances: usize) -> Vec<Cost> {
+    (0..instances).map(|i| world.cost(i)).collect()
+}
--- a/crates/rig/src/cli.rs
+++ b/crates/rig/src/cli.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use compio::runtime::Runtime;
 use gumdrop::Options;
-use rig::{demo, fleet, load, platform, server, upstream};
+use rig::{bench, demo, fleet, load, platform, server, upstream};
 use snafu::{OptionExt, ResultExt, Snafu};
 
 /// Longest time that a server or a load runs, in seconds.
@@ -40,6 +40,8 @@
     Load(LoadArgs),
     #[options(help = "run the demonstration")]
     Demo(DemoArgs),
+    #[options(help = "sweep a size and fit a line through what it costs")]
+    Bench(BenchArgs),
 }
 
 #[derive(Debug, Options)]
@@ -107,6 +109,14 @@
     help: bool,
 }
 
+#[derive(Debug, Options)]
+struct BenchArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "name of the bench")]
+    name: String,
+}
+
 #[derive(Debug, Default)]
 struct Addresses(Vec<SocketAddr>);
 
@@ -141,6 +151,8 @@
     Fleet { source: fleet::Error },
     #[snafu(transparent)]
     Load { source: load::Error },
+    #[snafu(transparent)]
+    Bench { source: bench::Error },
 }
 
 impl Args {
@@ -151,6 +163,7 @@
             Some(Command::Upstreams(args)) => run_upstreams(args),
             Some(Command::Load(args)) => run_load(args),
             Some(Command::Demo(_)) => run_demo(),
+            Some(Command::Bench(args)) => Ok(bench::run(&args.name)?),
             None => Ok(()),
         }
     }
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Every server runs on one thread with one compio runtime and stops when its handle is dropped.
 
+pub mod bench;
 pub mod client;
 pub mod demo;
 pub mod fleet;
--- a/crates/rig/src/sim/world.rs
+++ b/crates/rig/src/sim/world.rs
@@ -21,6 +21,7 @@
 use wire::{Body, Envelope};
 
 use super::{
+    cost::Cost,
     network::Network,
     platform::{Outgoing, Platform},
     upstream::{self, Upstream, UpstreamPlan, Work},
@@ -120,6 +121,7 @@
     paused_until: Time,
     wake: Time,
     draining: bool,
+    cost: Cost,
 }
 
 /// Something that is going to happen.
@@ -210,6 +212,7 @@
                 paused_until: Time::ZERO,
                 wake: Time::NEVER,
                 draining: false,
+                cost: Cost::default(),
             });
             world.start(index);
         }
@@ -241,6 +244,11 @@
         (self.platform.calls, self.platform.writes)
     }
 
+    /// Returns what an instance has used in all its lives.
+    pub fn cost(&self, instance: usize) -> Cost {
+        self.instances[instance].cost
+    }
+
     /// Returns the encoded size of all messages between instances.
     pub fn peer_bytes(&self) -> u64 {
         self.peer_bytes
@@ -436,8 +444,10 @@
             return;
         };
         let mut effects = Vec::new();
-        node.on(self.now, event, &mut effects);
-        node.settle(&mut effects);
+        instance.cost.measure(|| {
+            node.on(self.now, event, &mut effects);
+            node.settle(&mut effects);
+        });
         let wake = node.next_wake().unwrap_or(Time::NEVER);
         let wake = wake.max(self.now + Duration::from_micros(1));
         if wake < instance.wake {
@@ -540,6 +550,7 @@
             body: Some(body),
         };
         self.peer_bytes += prost::Message::encoded_len(&envelope) as u64;
+        self.instances[from].cost.sent(&envelope);
         if !self.network.passes(self.now, from, target) {
             return;
         }
