--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -86,12 +86,13 @@
             self.members.on_tick(now, &hints, effects);
             self.follow_view(now, effects);
         }
+        let view = self.owners.digest();
         for ask in self.owners.asks(now) {
             let name = |id: &UpstreamId| self.directory.names().name(*id).to_string();
             let upstreams = ask.upstreams.iter().map(name).collect();
             self.tell(
                 &ask.member,
-                Body::Handover(wire::Handover { upstreams }),
+                Body::Handover(wire::Handover { upstreams, view }),
                 effects,
             );
         }
--- a/crates/rig/src/cli.rs
+++ b/crates/rig/src/cli.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use compio::runtime::Runtime;
 use gumdrop::Options;
-use rig::{demo, fleet, load, platform, report, server, upstream};
+use rig::{bench, demo, fleet, load, platform, report, server, upstream};
 use snafu::{OptionExt, ResultExt, Snafu};
 
 /// Longest time that a server or a load runs, in seconds.
@@ -42,6 +42,8 @@
     Demo(DemoArgs),
     #[options(help = "measure the targets on separate processes")]
     Report(ReportArgs),
+    #[options(help = "sweep a size and fit a line through what it costs")]
+    Bench(BenchArgs),
 }
 
 #[derive(Debug, Options)]
@@ -120,6 +122,14 @@
     only: Vec<String>,
 }
 
+#[derive(Debug, Options)]
+struct BenchArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "name of the bench")]
+    name: String,
+}
+
 #[derive(Debug, Default)]
 struct Addresses(Vec<SocketAddr>);
 
@@ -156,6 +166,8 @@
     Load { source: load::Error },
     #[snafu(transparent)]
     Report { source: report::Error },
+    #[snafu(transparent)]
+    Bench { source: bench::Error },
 }
 
 impl Args {
@@ -167,6 +179,7 @@
             Some(Command::Load(args)) => run_load(args),
             Some(Command::Demo(_)) => run_demo(),
             Some(Command::Report(args)) => run_report(&args),
+            Some(Command::Bench(args)) => Ok(bench::run(&args.name)?),
             None => Ok(()),
         }
     }
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -61,6 +61,9 @@
     /// Names of the upstreams.
     #[prost(string, repeated, tag = "1")]
     pub upstreams: Vec<String>,
+    /// Digest of the members that the sender sees.
+    #[prost(fixed64, tag = "2")]
+    pub view: u64,
 }
 
 /// Answer to a [`Handover`].
