Detect the death of an instance after two seconds by default

Until its removal the upstreams that an instance owned are asked by nobody; 5 s of that is long against deadlines of 180 ms.

--- a/crates/cat/src/settings/peers.rs
+++ b/crates/cat/src/settings/peers.rs
@@ -47,9 +47,9 @@
             listen: DEFAULT_LISTEN,
             advertise: None,
             seeds: Vec::new(),
-            heartbeat: Duration::from_millis(250),
-            suspect_after: Duration::from_secs(1),
-            remove_after: Duration::from_secs(5),
+            heartbeat: Duration::from_millis(200),
+            suspect_after: Duration::from_millis(500),
+            remove_after: Duration::from_secs(2),
             budget: ByteSize(2 << 10),
         }
     }
