--- /dev/null
+++ b/crates/node/src/search/hedge.rs
@@ -0,0 +1,139 @@
+//! Parts that are late: hedges, and retries of the coverage class.
+
+use std::{rc::Rc, time::Duration};
+
+use base::{EntryName, Time};
+use cat::Class;
+
+use super::{Purpose, RETRY_PAUSE};
+use crate::{
+    attempt::QueryKey,
+    directory::UpstreamId,
+    effect::Effect,
+    node::{Node, Timer},
+    query::PartState,
+};
+
+/// Shortest time between two looks at the parts of one search.
+const CHECK_INTERVAL: Duration = Duration::from_millis(1);
+
+/// Hedges of one part.
+///
+/// At a fan-out of a hundred with one slow sub-request in a hundred, the first hedge is slow as
+/// well in one search of a hundred; the second takes that out of the 99th percentile.
+const MAX_HEDGES: u32 = 2;
+
+/// Attempts of one part that may be in flight at once.
+const MAX_LIVE: usize = 1 + MAX_HEDGES as usize;
+
+impl Node {
+    /// Looks at the parts whose time has come and makes hedges or retries.
+    pub(crate) fn check_query(&mut self, now: Time, key: QueryKey, effects: &mut Vec<Effect>) {
+        let Some(query) = self.queries.get_mut(key) else {
+            return;
+        };
+        if query.check_at > now {
+            return;
+        }
+        query.check_at = Time::NEVER;
+        let due: Vec<u32> = query.due_parts(now);
+        for part in due {
+            self.check_part(now, key, part, effects);
+        }
+        self.schedule_check(now, key);
+        self.finish_if_complete(now, key, effects);
+    }
+
+    pub(super) fn check_part(
+        &mut self,
+        now: Time,
+        key: QueryKey,
+        part: u32,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(query) = self.queries.get_mut(key) else {
+            return;
+        };
+        let entry = Rc::clone(&query.entry);
+        let patience = query.patience(part);
+        let state = &mut query.parts[part as usize];
+        state.check_at = Time::NEVER;
+        if state.state != PartState::Open || state.live.len() >= MAX_LIVE {
+            return;
+        }
+        let name = &entry.entry.name;
+        if state.live.is_empty() {
+            if self.take_retry_for(entry.entry.class, name) {
+                self.attempt(now, key, part, Purpose::Retry, effects);
+            } else if let Some(query) = self.queries.get_mut(key) {
+                query.parts[part as usize].check_at = now + RETRY_PAUSE;
+            }
+            return;
+        }
+        let overloaded = self.admission.is_overloaded(now, &entry.service.name);
+        if state.hedges < MAX_HEDGES && !overloaded && self.can_hedge(now, key, part) {
+            if self.admission.take_hedge(name) {
+                if let Some(query) = self.queries.get_mut(key) {
+                    query.parts[part as usize].hedges += 1;
+                }
+                self.attempt(now, key, part, Purpose::Hedge, effects);
+            } else if let Some(query) = self.queries.get_mut(key) {
+                query.parts[part as usize].check_at = now + CHECK_INTERVAL;
+            }
+            return;
+        }
+        self.check_patience(now, key, part, patience, effects);
+    }
+
+    /// Asks another replica for a coverage-class part that has waited its share of the deadline.
+    pub(super) fn check_patience(
+        &mut self,
+        now: Time,
+        key: QueryKey,
+        part: u32,
+        patience: Time,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(query) = self.queries.get_mut(key) else {
+            return;
+        };
+        if query.entry.entry.class != Class::Coverage {
+            return;
+        }
+        if now < patience {
+            query.parts[part as usize].check_at = patience;
+            return;
+        }
+        self.attempt(now, key, part, Purpose::Retry, effects);
+    }
+
+    pub(super) fn can_hedge(&self, now: Time, key: QueryKey, part: u32) -> bool {
+        let Some(query) = self.queries.get(key) else {
+            return false;
+        };
+        let state = &query.parts[part as usize];
+        let usable = |id: &UpstreamId| {
+            (state.may_repeat() || !state.tried.contains(id))
+                && self.upstreams.can_serve(now, *id, query.snapshot.id)
+        };
+        query.shard(part).replicas.iter().any(usable)
+    }
+
+    /// Takes a retry from the budget; the coverage class may always retry.
+    pub(super) fn take_retry_for(&mut self, class: Class, entry: &EntryName) -> bool {
+        self.admission.take_retry(entry) || class == Class::Coverage
+    }
+
+    /// Sets the timer of the next look at a search's parts.
+    pub(crate) fn schedule_check(&mut self, now: Time, key: QueryKey) {
+        let Some(query) = self.queries.get_mut(key) else {
+            return;
+        };
+        let next = query.next_check().max(now + CHECK_INTERVAL);
+        if next >= query.deadline || next >= query.check_at {
+            return;
+        }
+        query.check_at = next;
+        self.timers.set(next, Timer::Check(key));
+    }
+}
