node: leave claims to the preferred instance of their bucket; rig: claims-bench

Forwarded changes that are not answered in time are made by the instance itself. The bench offers claims to 15 simulated instances and prints writes, batch sizes, latency and processor time.

--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -14,6 +14,7 @@
 
 mod bucket;
 mod content;
+pub(crate) mod forward;
 mod record;
 
 use std::{
@@ -28,6 +29,7 @@
 use crate::{event::PlatformEvent, store::Cx};
 use bucket::{Bucket, Item};
 pub use content::{Bounds, Claim, Content, Verdict};
+pub use forward::{ClaimCode, Forwards, Pending};
 pub use record::{MAX_OUTCOME_BYTES, Record, Row, State};
 
 /// Largest object that the platform takes, in bytes.
@@ -53,6 +55,8 @@
     pub queue: usize,
     /// Most bytes of bucket content that are kept while nothing waits for them.
     pub cache_bytes: usize,
+    /// Time after which a change left to another instance is made here; zero leaves none.
+    pub forward_wait: Duration,
     /// First pause after a call that the platform did not take.
     pub first_backoff: Duration,
     /// Longest pause after calls that the platform did not take.
@@ -72,6 +76,7 @@
             batch: 1_024,
             queue: 4_096,
             cache_bytes: 32 << 20,
+            forward_wait: Duration::from_millis(30),
             first_backoff: Duration::from_millis(20),
             last_backoff: Duration::from_secs(2),
         }
@@ -116,6 +121,14 @@
 }
 
 impl Change {
+    /// Returns the request that the change is about.
+    pub fn request(&self) -> RequestId {
+        match self {
+            Self::Claim(claim, _) => claim.request,
+            Self::Settle { request, .. } | Self::Release { request, .. } => *request,
+        }
+    }
+
     /// Returns the key that the change is about.
     pub fn key(&self) -> &IdempotencyKey {
         match self {
@@ -171,6 +184,11 @@
         }
     }
 
+    /// Returns the time after which a change left to another instance is made here.
+    pub fn forward_wait(&self) -> Duration {
+        self.cfg.forward_wait
+    }
+
     /// Returns the bucket of a key.
     pub fn bucket_of(&self, key: &IdempotencyKey) -> u32 {
         let buckets = u64::from(self.cfg.buckets.max(1));
--- /dev/null
+++ b/crates/node/src/claims/forward.rs
@@ -0,0 +1,206 @@
+//! Changes that are left to the preferred instance of their bucket, so that conflicts stay rare.
+//!
+//! Nothing rests on it: a change without an answer in time is made here as well, and every change
+//! may be made twice. A claim that arrives late can at worst leave a record of a request that was
+//! never sent.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{IdempotencyKey, InstanceName, RequestId, Time};
+use bytes::Bytes;
+
+use super::{Change, Claim, Record, Row, Source, State, Verdict};
+
+/// How a forwarded change ended, as a message carries it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u32)]
+pub enum ClaimCode {
+    /// The claim is on record.
+    Claimed = 1,
+    /// Another request holds the key.
+    Held = 2,
+    /// The key is older than everything that is kept.
+    Expired = 3,
+    /// There is no room.
+    Full = 4,
+    /// The claim was not taken.
+    Refused = 5,
+}
+
+/// A change that another instance was asked to make.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Pending {
+    /// The change.
+    pub change: Change,
+    /// The instance that was asked.
+    pub peer: InstanceName,
+    /// When it is made here instead.
+    pub until: Time,
+}
+
+/// Changes that other instances were asked to make, by ticket.
+#[derive(Debug, Default)]
+pub struct Forwards {
+    last: u64,
+    pending: BTreeMap<u64, Pending>,
+}
+
+impl Forwards {
+    /// Files a change and returns the message that asks for it.
+    pub fn ask(
+        &mut self,
+        now: Time,
+        wait: Duration,
+        bucket: u32,
+        peer: InstanceName,
+        change: Change,
+    ) -> wire::Claim {
+        self.last += 1;
+        let message = wire::Claim {
+            ticket: self.last,
+            bucket: bucket.to_string(),
+            record: write(&change),
+            release: matches!(change, Change::Release { .. }),
+        };
+        let until = now + wait;
+        self.pending.insert(
+            self.last,
+            Pending {
+                change,
+                peer,
+                until,
+            },
+        );
+        message
+    }
+
+    /// Takes the change that an answer is about.
+    pub fn answered(
+        &mut self,
+        from: &InstanceName,
+        ticket: u64,
+        request: RequestId,
+    ) -> Option<Change> {
+        let asked = self.pending.get(&ticket)?;
+        if asked.peer != *from || asked.change.request() != request {
+            return None;
+        }
+        self.pending.remove(&ticket).map(|asked| asked.change)
+    }
+
+    /// Takes back the claim of a request; returns whether it had been asked for.
+    pub fn withdraw(&mut self, request: RequestId) -> bool {
+        let is_it = |asked: &Pending| matches!(&asked.change, Change::Claim(claim, _) if claim.request == request);
+        let before = self.pending.len();
+        self.pending.retain(|_, asked| !is_it(asked));
+        self.pending.len() < before
+    }
+
+    /// Takes the changes that were not answered in time.
+    pub fn overdue(&mut self, now: Time) -> Vec<Change> {
+        let due = self.pending.iter().filter(|(_, asked)| asked.until <= now);
+        let due: Vec<u64> = due.map(|(ticket, _)| *ticket).collect();
+        let taken = due.iter().filter_map(|ticket| self.pending.remove(ticket));
+        taken.map(|asked| asked.change).collect()
+    }
+
+    /// Returns when the next change is overdue.
+    pub fn next_wake(&self) -> Option<Time> {
+        self.pending.values().map(|asked| asked.until).min()
+    }
+
+    /// Returns whether an outcome or a release has not been answered.
+    pub fn has_unsaved(&self) -> bool {
+        let is_claim = |asked: &Pending| matches!(asked.change, Change::Claim(..));
+        !self.pending.values().all(is_claim)
+    }
+}
+
+fn write(change: &Change) -> Bytes {
+    let record = match change {
+        Change::Claim(claim, _) => Record {
+            digest: claim.digest,
+            request: claim.request,
+            state: State::Claimed,
+        },
+        Change::Settle { request, state, .. } => Record {
+            digest: 0,
+            request: *request,
+            state: state.clone(),
+        },
+        Change::Release { request, .. } => Record {
+            digest: 0,
+            request: *request,
+            state: State::Claimed,
+        },
+    };
+    Bytes::from(Vec::from(record.encode(change.key())))
+}
+
+/// Reads the change that a peer asks for.
+pub(crate) fn read(from: &InstanceName, message: &wire::Claim) -> Option<Change> {
+    let Row { key, record } = serde_json::from_slice(&message.record).ok()?;
+    let request = record.request;
+    if message.release {
+        return Some(Change::Release { request, key });
+    }
+    Some(match record.state {
+        State::Claimed => {
+            let claim = Claim {
+                request,
+                key,
+                digest: record.digest,
+            };
+            let source = Source::Peer {
+                from: from.clone(),
+                ticket: message.ticket,
+            };
+            Change::Claim(claim, source)
+        }
+        state => Change::Settle {
+            request,
+            key,
+            state,
+        },
+    })
+}
+
+/// Writes the answer to a forwarded change.
+pub(crate) fn answer(
+    ticket: u64,
+    request: RequestId,
+    key: &IdempotencyKey,
+    verdict: &Verdict,
+) -> wire::Claimed {
+    let (code, record) = match verdict {
+        Verdict::Claimed => (ClaimCode::Claimed, Bytes::new()),
+        Verdict::Held(record) => {
+            let record = Bytes::from(Vec::from(record.encode(key)));
+            (ClaimCode::Held, record)
+        }
+        Verdict::Expired => (ClaimCode::Expired, Bytes::new()),
+        Verdict::Full => (ClaimCode::Full, Bytes::new()),
+        Verdict::Refused => (ClaimCode::Refused, Bytes::new()),
+    };
+    wire::Claimed {
+        ticket,
+        code: code as u32,
+        record,
+        request: Bytes::copy_from_slice(&request.0.to_be_bytes()),
+    }
+}
+
+/// Reads the verdict of an answer.
+pub(crate) fn verdict(message: &wire::Claimed) -> Option<Verdict> {
+    Some(match message.code {
+        1 => Verdict::Claimed,
+        2 => {
+            let row: Row = serde_json::from_slice(&message.record).ok()?;
+            Verdict::Held(row.record)
+        }
+        3 => Verdict::Expired,
+        4 => Verdict::Full,
+        5 => Verdict::Refused,
+        _ => return None,
+    })
+}
--- a/crates/node/src/drain.rs
+++ b/crates/node/src/drain.rs
@@ -33,7 +33,8 @@
             self.idle_since = now;
         }
         // With the platform down the last outcomes stay unknown to repeated requests.
-        let unsaved = self.claims.has_unsaved() && now.since(self.idle_since) < OUTCOME_WAIT;
+        let unsaved = (self.claims.has_unsaved() || self.forwards.has_unsaved())
+            && now.since(self.idle_since) < OUTCOME_WAIT;
         let has_heirs = self
             .members
             .live_in(&self.identity.data_centre)
--- a/crates/node/src/members.rs
+++ b/crates/node/src/members.rs
@@ -235,6 +235,15 @@
         best.map(|(_, name)| name.clone())
     }
 
+    /// Returns the instance of this data centre that a key is best left to.
+    pub fn preferred(&self, key: &str) -> Option<&InstanceName> {
+        let key = rendezvous::key(key);
+        let best = self
+            .own_group()
+            .max_by_key(|(m, _)| rendezvous::score(*m, key));
+        best.map(|(_, name)| name)
+    }
+
     /// Returns the `count` instances that own an upstream of this data centre, best first.
     pub fn owners(&self, upstream: &UpstreamName, count: usize) -> Vec<InstanceName> {
         let key = rendezvous::key(upstream.as_str());
--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -74,7 +74,8 @@
             Some(Body::RelayRun(run)) => {
                 self.on_relay_run(now, &from, envelope.incarnation, run, effects);
             }
-            Some(Body::Claim(_) | Body::Claimed(_)) => {}
+            Some(Body::Claim(claim)) => self.on_claim(now, &from, &claim, effects),
+            Some(Body::Claimed(claimed)) => self.on_claimed(now, &from, &claimed, effects),
             None => self.bad_message(&from, "a message without a body", effects),
         }
     }
@@ -363,12 +364,15 @@
             return false;
         }
         let peer = self.next_hop(id);
-        peer.is_some_and(|peer| {
-            self.silence
-                .until
-                .get(&peer)
-                .is_some_and(|until| *until > now)
-        })
+        peer.is_some_and(|peer| self.is_silent(now, &peer))
+    }
+
+    /// Returns whether a peer was silent lately while it had work.
+    pub(crate) fn is_silent(&self, now: Time, peer: &InstanceName) -> bool {
+        self.silence
+            .until
+            .get(peer)
+            .is_some_and(|until| *until > now)
     }
 }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -9,7 +9,7 @@
 use crate::{
     admission::Admission,
     attempt::{AttemptKey, Attempts, QueryKey},
-    claims::{Claims, ClaimsConfig},
+    claims::{Claims, ClaimsConfig, Forwards},
     directory::Directory,
     effect::Effect,
     event::{Call, Event},
@@ -81,6 +81,7 @@
     pub(crate) queries: SlotMap<QueryKey, Query>,
     pub(crate) runs: Runs,
     pub(crate) claims: Claims,
+    pub(crate) forwards: Forwards,
     pub(crate) relayed_runs: RelayedRuns,
     pub(crate) attempts: Attempts,
     pub(crate) probes: Probes,
@@ -126,6 +127,7 @@
             queries: SlotMap::with_key(),
             runs: Runs::default(),
             claims: Claims::new(cfg.claims, seed),
+            forwards: Forwards::default(),
             relayed_runs: RelayedRuns::default(),
             attempts: Attempts::with_key(),
             probes: Probes::default(),
@@ -240,6 +242,7 @@
             Some(self.sync.next_wake()),
             Some(self.members.next_wake()),
             self.owners.next_wake(),
+            self.forwards.next_wake(),
         ];
         wakes.into_iter().flatten().min()
     }
--- a/crates/node/src/relay.rs
+++ b/crates/node/src/relay.rs
@@ -31,6 +31,7 @@
     results: BTreeMap<InstanceName, Vec<RelayResult>>,
     cancels: BTreeMap<InstanceName, Vec<u64>>,
     runs: Vec<(InstanceName, RelayRun)>,
+    claims: Vec<(InstanceName, Body)>,
 }
 
 impl Outbox {
@@ -39,11 +40,17 @@
         self.runs.push((peer, run));
     }
 
+    /// Adds a change of a claim, or the answer to one.
+    pub(crate) fn push_claim(&mut self, peer: InstanceName, message: Body) {
+        self.claims.push((peer, message));
+    }
+
     fn is_empty(&self) -> bool {
         self.relays.is_empty()
             && self.results.is_empty()
             && self.cancels.is_empty()
             && self.runs.is_empty()
+            && self.claims.is_empty()
     }
 }
 
@@ -317,6 +324,9 @@
         for ((peer, ..), relay) in outbox.relays {
             self.tell(&peer, Body::Relay(relay), effects);
         }
+        for (peer, message) in outbox.claims {
+            self.tell(&peer, message, effects);
+        }
         for (peer, run) in outbox.runs {
             self.tell(&peer, Body::RelayRun(run), effects);
         }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -4,6 +4,7 @@
 //! sent yet can be withdrawn and is refused as not run; what is sent, or handed to the owner of the
 //! upstream, is never sent again, and its outcome goes on record.
 
+mod forward;
 mod send;
 
 use std::{
@@ -182,13 +183,14 @@
         };
         self.runs.holders.insert(run.key.clone(), request);
         self.runs.runs.insert(request, run);
-        if !self.claims.submit(now, Change::Claim(claim, Source::Own)) {
+        if !self.submit_change(now, Change::Claim(claim, Source::Own)) {
             self.refuse_run(now, request, Reason::Overload, effects);
         }
     }
 
     /// Starts the platform calls that are due for claims.
     pub(crate) fn poll_claims(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        self.take_back_overdue(now, effects);
         let mut cx = Cx {
             now,
             ops: &mut self.ops,
@@ -206,8 +208,11 @@
         effects: &mut Vec<Effect>,
     ) {
         for ruling in rulings {
-            if ruling.source == Source::Own {
-                self.take_verdict(now, ruling.claim.request, ruling.verdict, effects);
+            match ruling.source {
+                Source::Own => {
+                    self.take_verdict(now, ruling.claim.request, ruling.verdict, effects);
+                }
+                Source::Peer { .. } => self.answer_peer(&ruling),
             }
         }
     }
@@ -252,13 +257,23 @@
         self.send_run(now, request, Reason::NoUpstream, effects);
     }
 
+    /// Forgets the claim of a run that was never sent; it may be on record by way of another.
+    fn withdraw_claim(&mut self, now: Time, key: IdempotencyKey, request: RequestId) {
+        if self.forwards.withdraw(request) {
+            // It follows the claim on the same way.
+            self.submit_change(now, Change::Release { request, key });
+        } else {
+            self.claims.withdraw(now, &key, request);
+        }
+    }
+
     /// Takes the claim of a run that was never sent off the record.
     fn release_claim(&mut self, now: Time, request: RequestId) {
         let Some(run) = self.runs.runs.get(&request) else {
             return;
         };
         let key = run.key.clone();
-        self.claims.submit(now, Change::Release { request, key });
+        self.submit_change(now, Change::Release { request, key });
     }
 
     /// Puts on record what became of a run that was sent.
@@ -267,7 +282,7 @@
             return;
         };
         let key = run.key.clone();
-        self.claims.submit(
+        self.submit_change(
             now,
             Change::Settle {
                 request,
@@ -364,7 +379,7 @@
         let key = run.key.clone();
         match run.stage {
             RunStage::Claiming => {
-                self.claims.withdraw(now, &key, request);
+                self.withdraw_claim(now, key, request);
                 self.refuse_run(now, request, Reason::PlatformUnavailable, effects);
             }
             RunStage::Sending(attempt) => self.sending_deadline(now, request, attempt, effects),
@@ -415,7 +430,7 @@
         };
         let key = run.key.clone();
         match run.stage {
-            RunStage::Claiming => self.claims.withdraw(now, &key, request),
+            RunStage::Claiming => self.withdraw_claim(now, key, request),
             RunStage::Sending(attempt) => {
                 let stage = self.attempts.get(attempt).map(|a| a.stage.clone());
                 if stage != Some(Stage::Queued) {
--- /dev/null
+++ b/crates/node/src/run/forward.rs
@@ -0,0 +1,97 @@
+//! Changes of claims by way of the preferred instance of their bucket.
+
+use base::{InstanceName, Time};
+use wire::Body;
+
+use crate::{
+    claims::{Change, Ruling, Source, Verdict, forward},
+    effect::Effect,
+    node::Node,
+    relay::read_request,
+};
+
+impl Node {
+    /// Leaves a change to the preferred instance of its bucket, or makes it here; returns whether
+    /// it found room.
+    pub(super) fn submit_change(&mut self, now: Time, change: Change) -> bool {
+        let wait = self.claims.forward_wait();
+        let bucket = self.claims.bucket_of(change.key());
+        let preferred = self.members.preferred(&format!("claims/{bucket}"));
+        let peer = preferred.filter(|peer| {
+            **peer != self.identity.instance
+                && !wait.is_zero()
+                && !self.members.is_suspect(peer)
+                && !self.is_silent(now, peer)
+        });
+        let Some(peer) = peer.cloned() else {
+            return self.claims.submit(now, change);
+        };
+        let message = self.forwards.ask(now, wait, bucket, peer.clone(), change);
+        self.outbox.push_claim(peer, Body::Claim(message));
+        true
+    }
+
+    /// Makes the changes here that were left to others and not answered in time.
+    pub(crate) fn take_back_overdue(&mut self, now: Time, effects: &mut Vec<Effect>) {
+        for change in self.forwards.overdue(now) {
+            let request = change.request();
+            if !self.claims.submit(now, change) {
+                self.take_verdict(now, request, Verdict::Refused, effects);
+            }
+        }
+    }
+
+    /// Takes a change that a peer leaves to this instance.
+    pub(crate) fn on_claim(
+        &mut self,
+        now: Time,
+        from: &InstanceName,
+        message: &wire::Claim,
+        effects: &mut Vec<Effect>,
+    ) {
+        let Some(change) = forward::read(from, message) else {
+            return self.bad_message(from, "a claim that cannot be read", effects);
+        };
+        let (request, key) = (change.request(), change.key().clone());
+        let is_claim = matches!(change, Change::Claim(..));
+        let taken = self.claims.submit(now, change);
+        let verdict = match (is_claim, taken) {
+            // The verdict follows.
+            (true, true) => return,
+            (false, true) => Verdict::Claimed,
+            (_, false) => Verdict::Refused,
+        };
+        let answer = forward::answer(message.ticket, request, &key, &verdict);
+        self.outbox.push_claim(from.clone(), Body::Claimed(answer));
+    }
+
+    /// Tells a peer the verdict on its claim.
+    pub(super) fn answer_peer(&mut self, ruling: &Ruling) {
+        let Source::Peer { from, ticket } = &ruling.source else {
+            return;
+        };
+        let claim = &ruling.claim;
+        let answer = forward::answer(*ticket, claim.request, &claim.key, &ruling.verdict);
+        self.outbox.push_claim(from.clone(), Body::Claimed(answer));
+    }
+
+    /// Takes a peer's answer to a change that was left to it.
+    pub(crate) fn on_claimed(
+        &mut self,
+        now: Time,
+        from: &InstanceName,
+        message: &wire::Claimed,
+        effects: &mut Vec<Effect>,
+    ) {
+        let (Some(request), Some(verdict)) =
+            (read_request(&message.request), forward::verdict(message))
+        else {
+            return self.bad_message(from, "an answer to a claim that cannot be read", effects);
+        };
+        match self.forwards.answered(from, message.ticket, request) {
+            Some(Change::Claim(..)) => self.take_verdict(now, request, verdict, effects),
+            Some(_) => {}
+            None => self.stats.discarded += 1,
+        }
+    }
+}
--- /dev/null
+++ b/crates/rig/src/bin/claims-bench.rs
@@ -0,0 +1,186 @@
+//! Measures claims on the reducer and the simulated platform.
+//!
+//! Claims a second are offered evenly to all instances; the shortest time between two writes of a
+//! bucket decides how many claims go into one write. Latency is simulated time, processor time is
+//! real and covers the reducers of all instances with everything that they do.
+
+use std::time::Duration;
+
+use base::Rate;
+use bytes::Bytes;
+use cat::{Class, Limits};
+use node::Answer;
+use rig::sim::{Scene, UpstreamPlan, World};
+
+/// Instances that share the load.
+const INSTANCES: usize = 15;
+
+/// Time for one run at an upstream.
+const SERVICE_TIME: Duration = Duration::from_millis(2);
+
+/// Time before the measurement, in which windows grow.
+const WARM_UP: Duration = Duration::from_secs(1);
+
+/// Measured time.
+const MEASURED: Duration = Duration::from_secs(3);
+
+/// Time between two groups of requests.
+const TURN: Duration = Duration::from_millis(1);
+
+/// One measurement.
+struct Setup {
+    /// Claims a second that are offered.
+    rate: u64,
+    /// Bucket objects.
+    buckets: u32,
+    /// Shortest time between two writes of a bucket.
+    interval: Duration,
+}
+
+impl Setup {
+    fn scene(&self) -> Scene {
+        let mut scene = Scene {
+            instances: INSTANCES,
+            upstreams: 30,
+            slots: 64,
+            upstream: UpstreamPlan {
+                service_time: SERVICE_TIME,
+                ..UpstreamPlan::default()
+            },
+            limits: Limits {
+                deadline: Duration::from_secs(1),
+                rate: Rate(10_000),
+                concurrent: 10_000,
+                ..Limits::default()
+            },
+            ..Scene::default()
+        };
+        scene.config.claims.buckets = self.buckets;
+        scene.config.claims.interval = self.interval;
+        scene
+    }
+
+    fn measure(&self) {
+        let mut world = self.scene().world();
+        let mut sent = 0;
+        self.offer(&mut world, WARM_UP, &mut sent);
+        let first = sent;
+        let before = Counts::of(&world);
+        self.offer(&mut world, MEASURED, &mut sent);
+        let after = Counts::of(&world);
+        world.advance(Duration::from_secs(2));
+        self.print(&world, first, &before, &after);
+    }
+
+    fn offer(&self, world: &mut World, length: Duration, sent: &mut u64) {
+        let turns = length.as_micros() / TURN.as_micros();
+        let body = Bytes::from_static(b"{\"book\":1}");
+        let entry = Scene::entry(Class::Once);
+        let mut due = 0;
+        for _ in 0..turns {
+            due += self.rate * u64::try_from(TURN.as_micros()).unwrap_or(0);
+            while due >= 1_000_000 {
+                due -= 1_000_000;
+                *sent += 1;
+                let issued = 1_764_800_000 + *sent / self.rate;
+                let Ok(key) = format!("{issued}-{sent:08x}").parse() else {
+                    return;
+                };
+                let instance = usize::try_from(*sent).unwrap_or(0) % INSTANCES;
+                world.run_once(instance, &entry, &key, &body);
+            }
+            world.advance(TURN);
+        }
+    }
+
+    fn print(&self, world: &World, first: u64, before: &Counts, after: &Counts) {
+        let seconds = MEASURED.as_secs_f64();
+        let per_second = |a: u64, b: u64| (b - a) as f64 / seconds;
+        let measured = world
+            .answers
+            .iter()
+            .filter(|(r, _)| r.0 > u128::from(first));
+        let (mut took, mut refused) = (Vec::new(), 0_u64);
+        for (_, (answer, time)) in measured {
+            match answer {
+                Answer::Done { .. } => took.push(*time),
+                _ => refused += 1,
+            }
+        }
+        took.sort_unstable();
+        let at = |share: usize| {
+            took.get(took.len() * share / 100)
+                .copied()
+                .unwrap_or_default()
+        };
+        let claims = (after.claims - before.claims).max(1);
+        let writes = (after.writes - before.writes).max(1);
+        let cpu = (after.cpu - before.cpu).as_secs_f64() * 1e6 / claims as f64;
+        println!(
+            "{:>7} {:>7} {:>8.0} {:>9.0} {:>8} {:>8.0} {:>8.0} {:>7.1} {:>8.1} {:>8.1} {:>8.1} {:>8.1}",
+            self.rate,
+            self.buckets,
+            self.interval.as_secs_f64() * 1e3,
+            per_second(before.claims, after.claims),
+            refused,
+            per_second(before.writes, after.writes),
+            per_second(before.calls, after.calls),
+            claims as f64 / writes as f64,
+            at(50).as_secs_f64() * 1e3,
+            at(99).as_secs_f64() * 1e3,
+            cpu,
+            per_second(before.bytes, after.bytes) / f64::from(1 << 20),
+        );
+    }
+}
+
+/// Counts of a world at one time.
+struct Counts {
+    claims: u64,
+    writes: u64,
+    calls: u64,
+    bytes: u64,
+    cpu: Duration,
+}
+
+impl Counts {
+    fn of(world: &World) -> Self {
+        let nodes = (0..INSTANCES).filter_map(|i| world.node(i));
+        let (calls, writes) = world.platform_load();
+        Self {
+            claims: nodes.map(|n| n.stats().claims).sum(),
+            writes,
+            calls,
+            bytes: world.written_bytes(),
+            cpu: world.reducer_time(),
+        }
+    }
+}
+
+fn main() {
+    println!(
+        "offered buckets interval  claims/s  refused writes/s  calls/s   batch      p50      p99   cpu us    MiB/s"
+    );
+    println!(
+        "                      ms                                                  ms       ms    claim  written"
+    );
+    let setups = [
+        (2_000, 64, 5),
+        (20_000, 64, 5),
+        (20_000, 64, 20),
+        (20_000, 64, 50),
+        (20_000, 64, 100),
+        (20_000, 64, 214),
+        (20_000, 16, 54),
+        (20_000, 8, 27),
+    ];
+    for (rate, buckets, millis) in setups {
+        let interval = Duration::from_millis(millis);
+        Setup {
+            rate,
+            buckets,
+            interval,
+        }
+        .measure();
+    }
+}
--- a/crates/rig/src/sim/platform.rs
+++ b/crates/rig/src/sim/platform.rs
@@ -31,6 +31,7 @@
     waiters: Vec<Waiter>,
     pub(super) calls: u64,
     pub(super) writes: u64,
+    pub(super) written_bytes: u64,
 }
 
 impl Platform {
@@ -85,6 +86,7 @@
                 value,
             } => {
                 self.writes += 1;
+                self.written_bytes += value.len() as u64;
                 self.write(kind, name, expect, value)
             }
         };
--- a/crates/rig/src/sim/world.rs
+++ b/crates/rig/src/sim/world.rs
@@ -189,6 +189,7 @@
     calls: u64,
     requests: BTreeMap<(usize, CallId), RequestId>,
     peer_bytes: u64,
+    reducer_time: Duration,
     /// Everything that was seen.
     pub history: History,
     /// Answers by request, with the time from call to answer.
@@ -225,6 +226,7 @@
             calls: 0,
             requests: BTreeMap::new(),
             peer_bytes: 0,
+            reducer_time: Duration::ZERO,
             history: History::default(),
             answers: BTreeMap::new(),
             called_at: BTreeMap::new(),
@@ -273,6 +275,16 @@
         (self.platform.calls, self.platform.writes)
     }
 
+    /// Returns the size of all objects that instances wrote to the platform.
+    pub fn written_bytes(&self) -> u64 {
+        self.platform.written_bytes
+    }
+
+    /// Returns the real time that all reducers took together.
+    pub fn reducer_time(&self) -> Duration {
+        self.reducer_time
+    }
+
     /// Returns the encoded size of all messages between instances.
     pub fn peer_bytes(&self) -> u64 {
         self.peer_bytes
@@ -456,6 +468,7 @@
         instance.draining = false;
         instance.paused_until = Time::ZERO;
         instance.held.clear();
+        instance.wake = self.now;
         let identity = Identity {
             instance: instance.name.clone(),
             data_centre: instance.data_centre.clone(),
@@ -509,14 +522,20 @@
     fn hand_over(&mut self, index: usize, life: u64, event: Event) {
         let instance = &mut self.instances[index];
         if let Event::Tick = event {
+            if instance.wake > self.now {
+                // An earlier one took its place.
+                return;
+            }
             instance.wake = Time::NEVER;
         }
         let Some(node) = &mut instance.node else {
             return;
         };
         let mut effects = Vec::new();
+        let start = std::time::Instant::now();
         node.on(self.now, event, &mut effects);
         node.settle(&mut effects);
+        self.reducer_time += start.elapsed();
         let wake = node.next_wake().unwrap_or(Time::NEVER);
         let wake = wake.max(self.now + Duration::from_micros(1));
         if wake < instance.wake {
--- a/crates/wire/src/message.rs
+++ b/crates/wire/src/message.rs
@@ -388,7 +388,7 @@
     pub attempts: Vec<u64>,
 }
 
-/// A claim that the receiver is asked to put on record.
+/// A change of a claim that the receiver is asked to put on record.
 #[derive(Clone, PartialEq, Message)]
 pub struct Claim {
     /// Number that the sender uses to match the result.
@@ -397,9 +397,12 @@
     /// Bucket object of the claim.
     #[prost(string, tag = "2")]
     pub bucket: String,
-    /// Record to add, as JSON.
+    /// Record to add, or with another state the record to replace, as JSON.
     #[prost(bytes = "bytes", tag = "3")]
     pub record: Bytes,
+    /// Whether the record is to be taken off.
+    #[prost(bool, tag = "4")]
+    pub release: bool,
 }
 
 /// Result of a forwarded claim.
@@ -414,4 +417,7 @@
     /// Record that holds the key, as JSON, when another holds it.
     #[prost(bytes = "bytes", tag = "3")]
     pub record: Bytes,
+    /// Request that the claim is of, big-endian; tickets begin again with each start of the sender.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub request: Bytes,
 }
