up, node: await an upstream's end beyond its deadline before its slot is free

Cause: the time passed on to the upstream was the whole time after which the pool gives up. The upstream counts it from the request's arrival, so it worked on when the pool had closed the connection and the slot was given to the next request. The transit takes milliseconds on a busy machine. Now the pool gives up 50 ms after the deadline that the upstream is told. An upstream that keeps its deadline frees the slot as early as before.

--- a/crates/node/src/dispatch.rs
+++ b/crates/node/src/dispatch.rs
@@ -13,10 +13,11 @@
     search::Ended,
 };
 
-/// Longest time that an attempt may be in flight, in addition to its deadline.
+/// Time after its deadline for which an attempt that the upstream has not ended keeps its slot.
 ///
-/// The pool reports the attempt as timed out then, and its slot is free again.
-const SEND_GRACE: Duration = Duration::from_millis(2);
+/// An upstream counts the deadline from the request's arrival, so it may still work on it when the
+/// deadline has passed here. One that is still silent after this time is given up.
+const SEND_GRACE: Duration = Duration::from_millis(50);
 
 /// What became of an attempt that was handed in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -109,7 +110,8 @@
             attempt: key.id(),
             address: upstream.declared.address,
             connections: upstream.declared.connections,
-            timeout: attempt.deadline.since(now) + SEND_GRACE,
+            timeout: attempt.deadline.since(now),
+            grace: SEND_GRACE,
             sub,
         }));
     }
--- a/crates/node/src/effect.rs
+++ b/crates/node/src/effect.rs
@@ -48,8 +48,11 @@
     pub address: SocketAddr,
     /// Connections that this instance may hold to the upstream.
     pub connections: u32,
-    /// Time until the attempt is abandoned; passed on to the upstream.
+    /// Time that the upstream has; passed on to it.
     pub timeout: Duration,
+    /// Further time for which the upstream's word of the end is awaited before the attempt is
+    /// abandoned.
+    pub grace: Duration,
     /// The request.
     pub sub: SubRequest,
 }
--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -7,4 +7,5 @@
 mod history;
 mod members;
 mod search;
+mod slots;
 mod store;
--- a/crates/rig/src/bench/connections.rs
+++ b/crates/rig/src/bench/connections.rs
@@ -111,6 +111,7 @@
         address: fleet.upstreams[0].address,
         connections: u32::try_from(connections).unwrap_or(u32::MAX),
         timeout: Duration::from_secs(15),
+        grace: Duration::ZERO,
         sub: SubRequest::Search {
             echo: Echo {
                 request: RequestId(1),
--- a/crates/up/examples/load.rs
+++ b/crates/up/examples/load.rs
@@ -54,6 +54,7 @@
                 address: upstreams[next.0 as usize % UPSTREAMS],
                 connections: connections as u32,
                 timeout: Duration::from_secs(2),
+                grace: Duration::ZERO,
                 sub: SubRequest::Search {
                     echo: Echo {
                         request: RequestId(0x0123_4567_89ab_cdef),
--- a/crates/up/src/exchange.rs
+++ b/crates/up/src/exchange.rs
@@ -54,7 +54,7 @@
 
 /// Makes the message; `None` when the time has run out or a name fits into no header.
 fn message(pool: &Pool, job: &Job, work: &Work) -> Option<Message> {
-    let left = request::time_left(job.deadline)?;
+    let left = request::time_left(job.deadline - job.grace)?;
     let builder = &pool.shared.builder;
     match work {
         Work::Sub(_, sub) => {
--- a/crates/up/src/job.rs
+++ b/crates/up/src/job.rs
@@ -4,7 +4,7 @@
     cell::{Cell, RefCell},
     rc::Rc,
     task::Waker,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use base::AttemptId;
@@ -38,6 +38,8 @@
 pub(crate) struct Job {
     /// Time after which the job is abandoned.
     pub(crate) deadline: Instant,
+    /// Part of the time before `deadline` that the upstream is not told of.
+    pub(crate) grace: Duration,
     /// Pool that the job belongs to.
     pub(crate) pool: Rc<Pool>,
     /// Attempt whose end is reported; a cancellation has none.
@@ -54,13 +56,14 @@
 
 impl Job {
     /// Makes a job that waits for a connection.
-    pub(crate) fn new(pool: Rc<Pool>, work: Work, deadline: Instant) -> Rc<Self> {
+    pub(crate) fn new(pool: Rc<Pool>, work: Work, deadline: Instant, grace: Duration) -> Rc<Self> {
         let attempt = match &work {
             Work::Sub(attempt, _) => Some(*attempt),
             Work::Cancel(_) => None,
         };
         Rc::new(Self {
             deadline,
+            grace,
             pool,
             attempt,
             work: Cell::new(Some(work)),
--- a/crates/up/src/pools.rs
+++ b/crates/up/src/pools.rs
@@ -56,9 +56,9 @@
     pub fn send(&self, send: Send) {
         let pool = self.0.pool(send.address);
         pool.set_limit(send.connections as usize);
-        let deadline = Instant::now() + send.timeout;
+        let deadline = Instant::now() + send.timeout + send.grace;
         let work = Work::Sub(send.attempt, send.sub);
-        let job = Job::new(Rc::clone(&pool), work, deadline);
+        let job = Job::new(Rc::clone(&pool), work, deadline, send.grace);
         self.0
             .attempts
             .borrow_mut()
@@ -198,7 +198,12 @@
         }
         let latest = Instant::now() + self.settings.cancel_timeout;
         let deadline = job.deadline.min(latest);
-        let word = Job::new(Rc::clone(&job.pool), Work::Cancel(id), deadline);
+        let word = Job::new(
+            Rc::clone(&job.pool),
+            Work::Cancel(id),
+            deadline,
+            Duration::ZERO,
+        );
         self.watch(Rc::clone(&word));
         job.pool.submit(word);
     }
--- a/crates/up/tests/exact.rs
+++ b/crates/up/tests/exact.rs
@@ -61,6 +61,24 @@
     });
 }
 
+#[test]
+fn word_of_an_upstream_that_stops_at_its_deadline_is_awaited() {
+    // The upstream counts its deadline from the arrival, and its reply takes a while.
+    let fake = Fake::start(|request| {
+        let told = request.header("deadline-ms").parse().unwrap();
+        thread::sleep(Duration::from_millis(told) + Duration::from_millis(10));
+        Some(reply(503, "", ""))
+    });
+    block_on(async {
+        let mut up = Harness::new(Settings::default());
+        up.grace = Duration::from_millis(200);
+        up.search(fake.address, 2, 30);
+        let (_, event) = up.report().await;
+        let refused = matches!(event, UpstreamEvent::Refused { .. });
+        assert!(refused, "{event:?}");
+    });
+}
+
 #[test]
 fn no_permitted_connection_is_connect() {
     let fake = Fake::start(|request| Some(request.found("[]")));
--- a/crates/up/tests/harness.rs
+++ b/crates/up/tests/harness.rs
@@ -19,6 +19,8 @@
     pub(crate) pools: Pools,
     reports: UnboundedReceiver<Event>,
     last: Cell<AttemptId>,
+    /// Time after the upstream's deadline for which its word is awaited.
+    pub(crate) grace: Duration,
 }
 
 impl Harness {
@@ -29,6 +31,7 @@
             pools: Pools::new(settings, events),
             reports,
             last: Cell::default(),
+            grace: Duration::ZERO,
         }
     }
 
@@ -104,6 +107,7 @@
             address,
             connections,
             timeout: Duration::from_millis(timeout_ms),
+            grace: self.grace,
             sub,
         });
         attempt
