node: don't blame ordinary searches for a crash beside them

Causes: 1. all connections of a crashing upstream break at once, and each request in flight on it got a strike; a popular query was in flight at both crashes. The instance that owns the upstream now blames only probes and runs when one was in flight, and sends the others to another replica. 2. the second probe went to the other replica of the same shard, which then had none. It now goes to an upstream that shares no shard with the first, if there is one.

Ruled out: load alone (the simulation at a third of the capacity shows the same).

--- a/crates/node/src/attempt.rs
+++ b/crates/node/src/attempt.rs
@@ -88,5 +88,12 @@
     pub sub: Option<SubRequest>,
 }
 
+impl Attempt {
+    /// Returns whether it carries a request that no upstream may have answered before.
+    pub fn is_suspect(&self) -> bool {
+        self.probe || self.run.is_some()
+    }
+}
+
 /// All attempts that have not ended.
 pub type Attempts = SlotMap<AttemptKey, Attempt>;
--- a/crates/node/src/quarantine.rs
+++ b/crates/node/src/quarantine.rs
@@ -54,6 +54,12 @@
         self.harmless.contains_key(&fingerprint) || self.older_harmless.contains_key(&fingerprint)
     }
 
+    /// Returns the upstreams that the request has broken within the period.
+    pub fn broken(&self, now: Time, fingerprint: u64) -> &[UpstreamName] {
+        let record = self.records.get(&fingerprint).filter(|r| r.until > now);
+        record.map_or(&[], |r| &r.broke)
+    }
+
     /// Returns whether the request has broken this upstream within the period.
     pub fn has_broken(&self, now: Time, fingerprint: u64, upstream: &UpstreamName) -> bool {
         self.records
--- a/crates/node/src/replies.rs
+++ b/crates/node/src/replies.rs
@@ -30,6 +30,7 @@
             self.stats.discarded += 1;
             return;
         };
+        let event = self.attribute(now, &attempt, event);
         self.learn(now, &attempt, &event, effects);
         self.free_slot(now, attempt.upstream, effects);
         let broke = matches!(event, UpstreamEvent::Failed(Failure::Broken));
--- a/crates/node/src/search.rs
+++ b/crates/node/src/search.rs
@@ -190,22 +190,27 @@
         }
     }
 
-    /// Returns the first held part from `first` on that an upstream can try out.
+    /// Returns the first held part from `first` on that an upstream can try out, if possible one
+    /// that shares no shard with an upstream which the request has broken.
     fn find_probe(&self, now: Time, key: QueryKey, first: u32) -> Option<u32> {
         let query = self.queries.get(key)?;
         let parts = u32::try_from(query.parts.len()).unwrap_or(u32::MAX);
-        let usable = |part: &u32| {
+        let beside_broken = self.beside_broken(now, query);
+        let chosen = |part: &u32| {
             let wanted = Wanted {
                 replicas: &query.shard(*part).replicas,
                 snapshot: query.snapshot.id,
                 home: &self.identity.data_centre,
             };
-            query.parts[*part as usize].state == PartState::Held
-                && self
-                    .choose_probe(now, query.fingerprint, wanted, &[])
-                    .is_some()
+            let is_held = query.parts[*part as usize].state == PartState::Held;
+            is_held
+                .then(|| self.choose_probe(now, query.fingerprint, wanted, &[]))
+                .flatten()
         };
-        (first..parts).chain(0..first).find(usable)
+        let mut order = (first..parts).chain(0..first);
+        let apart = |part: &u32| chosen(part).is_some_and(|id| !beside_broken.contains(&id));
+        let found = order.clone().find(apart);
+        found.or_else(|| order.find(|part| chosen(part).is_some()))
     }
 
     fn start_probe(
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -44,6 +44,7 @@
     latency_us: u64,
     failures: u32,
     down_until: Time,
+    suspect_broke_at: Option<Time>,
     leaving_until: Option<Time>,
     leaving_since: Time,
     lacks: Vec<(SnapshotId, Time)>,
@@ -61,6 +62,7 @@
             latency_us: UNKNOWN_LATENCY_US,
             failures: 0,
             down_until: Time::ZERO,
+            suspect_broke_at: None,
             leaving_until: None,
             leaving_since: Time::ZERO,
             lacks: Vec::new(),
@@ -89,6 +91,16 @@
                 .min(MAX_BACKOFF);
     }
 
+    /// Records that a connection with a probe or a run broke: others are not to blame for it.
+    pub fn suspect_broke(&mut self, now: Time) {
+        self.suspect_broke_at = Some(now);
+    }
+
+    /// Returns whether a connection with a probe or a run has broken since `time`.
+    pub fn has_broken_suspect_since(&self, time: Time) -> bool {
+        self.suspect_broke_at.is_some_and(|at| at >= time)
+    }
+
     /// Records that the upstream takes no new work; returns whether that is news.
     ///
     /// `age` is the time since the first sign.
--- /dev/null
+++ b/crates/node/tests/blame.rs
@@ -0,0 +1,57 @@
+//! A request that breaks upstreams leaves requests that were in flight beside it unharmed.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use cat::Class;
+use node::Answer;
+use rig::sim::{Scene, World};
+
+/// Instances of the data centre.
+const INSTANCES: usize = 6;
+/// Ordinary queries, each of which is asked again and again.
+const BODIES: [&[u8]; 4] = [b"harp", b"choir", b"transcript", b"custody"];
+
+fn search_all(world: &mut World, rounds: usize, breaking: bool) -> Vec<base::RequestId> {
+    let mut ordinary = Vec::new();
+    for round in 0..rounds {
+        for instance in 0..INSTANCES {
+            let body = Bytes::from_static(BODIES[(round + instance) % BODIES.len()]);
+            ordinary.push(world.search(instance, &Scene::entry(Class::Latency), &body));
+            world.advance(Duration::from_millis(3));
+        }
+        if breaking {
+            for instance in 0..INSTANCES {
+                let body = Bytes::from_static(b"crash me");
+                world.search(instance, &Scene::entry(Class::Latency), &body);
+            }
+        }
+    }
+    ordinary
+}
+
+#[test]
+fn ordinary_requests_are_not_blamed_for_another_ones_crash() {
+    for seed in 1..=5 {
+        let scene = Scene {
+            instances: INSTANCES,
+            upstreams: 12,
+            shards: 24,
+            slots: 16,
+            seed,
+            ..Scene::default()
+        };
+        let mut world = scene.world();
+        search_all(&mut world, 100, false);
+        let ordinary = search_all(&mut world, 300, true);
+        world.advance(Duration::from_secs(1));
+        let is_whole = |request: &base::RequestId| match world.answers.get(request) {
+            Some((Answer::Found(found), _)) => found.coverage.missing.is_empty(),
+            _ => false,
+        };
+        let harmed = ordinary.iter().filter(|request| !is_whole(request)).count();
+        assert_eq!(harmed, 0, "seed {seed}: of {} requests", ordinary.len());
+        let broken: u32 = (0..12).map(|u| world.times_broken(Scene::address(u))).sum();
+        assert!(broken <= 2, "seed {seed}: {broken} upstreams broke");
+    }
+}
