--- a/crates/rig/src/report/mod.rs
+++ b/crates/rig/src/report/mod.rs
@@ -1,6 +1,8 @@
 //! Measures the targets of the policy on separate processes, with the baseline of the same build.
 
 mod classes;
+mod crashing;
+mod leaving;
 mod scarce;
 mod speed;
 mod stragglers;
@@ -21,7 +23,14 @@
 };
 
 /// Experiments in the order in which they run.
-pub const EXPERIMENTS: [&str; 4] = ["speed", "stragglers", "scarce", "classes"];
+pub const EXPERIMENTS: [&str; 6] = [
+    "speed",
+    "stragglers",
+    "scarce",
+    "classes",
+    "crashing",
+    "leaving",
+];
 
 /// Bodies of the searches.
 const BODIES: [&str; 4] = [
@@ -94,6 +103,8 @@
         "speed" => speed::run().await,
         "scarce" => scarce::run().await,
         "classes" => classes::run().await,
+        "crashing" => crashing::run().await,
+        "leaving" => leaving::run().await,
         _ => stragglers::run().await,
     }
 }
