rig: benches measure memory in processes of their own; ticks of the simulation do not multiply

The simulated world kept every tick that a later, earlier wake had replaced, and each of them set a new one: after an hour of simulated time a reducer was handed ten times as many ticks. A replaced tick is now dropped, as the shell does.

--- a/crates/rig/src/bench/meter.rs
+++ b/crates/rig/src/bench/meter.rs
@@ -1,6 +1,9 @@
 //! Processor time and memory of this process.
 
-use std::time::Duration;
+use std::{
+    process::{Command, Stdio},
+    time::Duration,
+};
 
 use crate::{fleet::Usage, sim::thread_time};
 
@@ -16,6 +19,24 @@
     Usage::of(std::process::id()).map_or(0.0, |usage| usage.resident as f64)
 }
 
+/// Measures one point in a process of its own, whose memory no other point has used before.
+pub(super) fn apart(bench: &str, size: usize) -> Result<Vec<f64>, std::io::Error> {
+    let size = size.to_string();
+    let output = Command::new(std::env::current_exe()?)
+        .args(["bench", bench, "--size", size.as_str()])
+        .stderr(Stdio::inherit())
+        .output()?;
+    let text = String::from_utf8_lossy(&output.stdout);
+    let line = text.lines().last().unwrap_or_default();
+    let values: Result<_, _> = line.split_whitespace().map(str::parse).collect();
+    match values {
+        Ok(values) if output.status.success() => Ok(values),
+        _ => Err(std::io::Error::other(format!(
+            "bench {bench} --size {size} gave no point"
+        ))),
+    }
+}
+
 /// Returns a span in microseconds.
 pub(super) fn micros(span: Duration) -> f64 {
     span.as_secs_f64() * 1e6
--- /dev/null
+++ b/crates/rig/src/bench/relay.rs
@@ -0,0 +1,93 @@
+//! Searches through real processes: what a sub-request costs all instances, by their number.
+//!
+//! With one instance every sub-request goes to its upstream directly; with more, all but one in so
+//! many go through the instance that owns the upstream.
+
+use std::time::Duration;
+
+use compio::runtime::Runtime;
+use serde_json::json;
+
+use super::{Error, meter::micros, sweep::Sweep};
+use crate::{
+    fleet::{Fleet, FleetPlan, ServicePlan},
+    load::{self, Pace},
+    report::{counts, searches},
+    upstream::Params,
+};
+
+/// Shards of each search.
+const SHARDS: usize = 100;
+
+/// Searches a second.
+const RATE: f64 = 20.0;
+
+/// Time in which searches are sent, in seconds.
+const SECONDS: f64 = 10.0;
+
+const COUNTS: [&str; 2] = ["first_attempts", "relayed"];
+
+/// Sweeps the instances of one data centre.
+pub(super) fn run() -> Result<(), Error> {
+    let columns = [
+        "us/sub-request",
+        "relayed share",
+        "sub-requests/s",
+        "idle us/s each",
+        "MB resident",
+    ];
+    let mut sweep = Sweep::new("searches of 100 shards", "instances", &columns);
+    for instances in [1, 2, 4, 8] {
+        sweep.add(instances, &Runtime::new()?.block_on(measure(instances))?);
+    }
+    sweep.finish();
+    Ok(())
+}
+
+async fn measure(instances: usize) -> Result<[f64; 5], Error> {
+    let service = ServicePlan {
+        upstreams: 24,
+        shards: SHARDS,
+        limits: json!({ "deadline": "2s", "rate": "100000/s", "hedge": "0%" }),
+        params: Params {
+            slots: 64,
+            ..Params::default()
+        },
+        ..ServicePlan::default()
+    };
+    let fleet = Fleet::start(FleetPlan {
+        data_centres: vec![("a".into(), instances)],
+        services: vec![service],
+        ..FleetPlan::default()
+    })
+    .await?;
+    let idle_span = Duration::from_secs(3);
+    compio::time::sleep(idle_span).await;
+    let quiet = used(&fleet);
+    compio::time::sleep(idle_span).await;
+    let idle = (used(&fleet) - quiet).as_secs_f64() / idle_span.as_secs_f64();
+    let (start, before) = (used(&fleet), counts(&fleet, &COUNTS).await?);
+    load::run(&searches(
+        &fleet,
+        "contracts-latency",
+        Pace::Open(RATE),
+        SECONDS,
+    ))
+    .await?;
+    let spent = (used(&fleet) - start).as_secs_f64() - idle * SECONDS;
+    let after = counts(&fleet, &COUNTS).await?;
+    let (sent, relayed) = (after[0] - before[0], after[1] - before[1]);
+    let resident = fleet.instances[0].process.usage().map(|u| u.resident);
+    Ok([
+        micros(Duration::from_secs_f64(spent.max(0.0))) / sent,
+        relayed / sent,
+        sent / SECONDS,
+        idle * 1e6 / instances as f64,
+        resident.unwrap_or(0) as f64 / 1e6,
+    ])
+}
+
+fn used(fleet: &Fleet) -> Duration {
+    let usage = |i: &crate::fleet::Instance| i.process.usage().unwrap_or_default();
+    fleet.instances.iter().map(|i| usage(i).cpu).sum()
+}
--- a/crates/rig/src/cli.rs
+++ b/crates/rig/src/cli.rs
@@ -128,6 +128,8 @@
     help: bool,
     #[options(free, required, help = "name of the bench")]
     name: String,
+    #[options(no_short, help = "measure the point of this size only")]
+    size: Option<usize>,
 }
 
 #[derive(Debug, Default)]
@@ -179,7 +181,7 @@
             Some(Command::Load(args)) => run_load(args),
             Some(Command::Demo(_)) => run_demo(),
             Some(Command::Report(args)) => run_report(&args),
-            Some(Command::Bench(args)) => Ok(bench::run(&args.name)?),
+            Some(Command::Bench(args)) => Ok(bench::run(&args.name, args.size)?),
             None => Ok(()),
         }
     }
--- a/crates/rig/src/report/mod.rs
+++ b/crates/rig/src/report/mod.rs
@@ -99,7 +99,7 @@
 }
 
 /// Returns a load of searches through all instances.
-fn searches(fleet: &Fleet, entry: &str, pace: Pace, seconds: f64) -> Config {
+pub(crate) fn searches(fleet: &Fleet, entry: &str, pace: Pace, seconds: f64) -> Config {
     Config {
         targets: fleet.instances.iter().map(|i| i.callers).collect(),
         entry: entry.parse().expect("a valid entry name"),
@@ -121,7 +121,7 @@
 }
 
 /// Returns counts of the instances' statuses, each added up over all instances.
-async fn counts(fleet: &Fleet, names: &[&str]) -> Result<Vec<f64>, Error> {
+pub(crate) async fn counts(fleet: &Fleet, names: &[&str]) -> Result<Vec<f64>, Error> {
     let mut sums = vec![0.0; names.len()];
     for index in 0..fleet.instances.len() {
         let status = fleet.status(index).await?;
--- a/crates/rig/src/sim/world.rs
+++ b/crates/rig/src/sim/world.rs
@@ -484,6 +484,7 @@
         };
         let seed = self.rng.random();
         instance.node = Some(Node::new(identity, self.config.clone(), self.now, seed));
+        instance.wake = self.now;
         let life = instance.life;
         self.later(
             self.now,
@@ -529,6 +530,10 @@
     fn hand_over(&mut self, index: usize, life: u64, event: Event) {
         let instance = &mut self.instances[index];
         if let Event::Tick = event {
+            if self.now < instance.wake {
+                // An earlier wake has replaced this one.
+                return;
+            }
             instance.wake = Time::NEVER;
         }
         let Some(node) = &mut instance.node else {
