--- a/crates/rig/src/sim/world.rs
+++ b/crates/rig/src/sim/world.rs
@@ -495,6 +495,7 @@
         };
         let seed = self.rng.random();
         instance.node = Some(Node::new(identity, self.config.clone(), self.now, seed));
+        instance.wake = self.now;
         let life = instance.life;
         self.later(
             self.now,
@@ -540,8 +541,8 @@
     fn hand_over(&mut self, index: usize, life: u64, event: Event) {
         let instance = &mut self.instances[index];
         if let Event::Tick = event {
-            if instance.wake > self.now {
-                // An earlier one took its place.
+            if self.now < instance.wake {
+                // An earlier wake has replaced this one.
                 return;
             }
             instance.wake = Time::NEVER;
