rig: report on runs that are sent twice while everything fails

Two callers send every key through different instances while instances are killed and paused, the platform is down, loses and delays writes, and upstreams crash and withhold replies.

--- a/crates/rig/src/report/mod.rs
+++ b/crates/rig/src/report/mod.rs
@@ -3,6 +3,7 @@
 mod classes;
 mod crashing;
 mod leaving;
+mod once;
 mod scarce;
 mod speed;
 mod stragglers;
@@ -23,13 +24,14 @@
 };
 
 /// Experiments in the order in which they run.
-pub const EXPERIMENTS: [&str; 6] = [
+pub const EXPERIMENTS: [&str; 7] = [
     "speed",
     "stragglers",
     "scarce",
     "classes",
     "crashing",
     "leaving",
+    "once",
 ];
 
 /// Bodies of the searches.
@@ -105,6 +107,7 @@
         "classes" => classes::run().await,
         "crashing" => crashing::run().await,
         "leaving" => leaving::run().await,
+        "once" => once::run().await,
         _ => stragglers::run().await,
     }
 }
--- /dev/null
+++ b/crates/rig/src/report/once.rs
@@ -0,0 +1,153 @@
+//! Requests of the class once under kills, pauses, an outage and lost replies: how often each ran.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use compio::time::sleep;
+use futures_util::future::{join, join3};
+use serde_json::json;
+
+use super::{Error, Row, Target, record, searches};
+use crate::{
+    fleet::{Fleet, FleetPlan, ServicePlan, control},
+    load::{self, Kind, Pace, RunRecord},
+    upstream::Params,
+};
+
+/// Runs a second by each of two callers, who use the same keys.
+const RATE: f64 = 60.0;
+/// Duration of the load, in seconds.
+const SECONDS: f64 = 32.0;
+/// Bodies; each run has one of its own, so that none is quarantined for another's lost reply.
+const BODIES: u32 = 4_000;
+/// Instances, spread over two data centres.
+const INSTANCES: usize = 6;
+
+/// Sends every run twice, through different instances, while everything fails in turn.
+pub(super) async fn run() -> Result<Vec<Row>, Error> {
+    let service = ServicePlan {
+        upstreams: 4,
+        limits: json!({ "deadline": "1s" }),
+        params: Params {
+            slots: 8,
+            service_us: 3_000,
+            ..Params::default()
+        },
+        ..ServicePlan::default()
+    };
+    let half = INSTANCES / 2;
+    let plan = FleetPlan {
+        data_centres: vec![("a".into(), half), ("b".into(), half)],
+        services: vec![service],
+        ..FleetPlan::default()
+    };
+    let mut fleet = Fleet::start(plan).await?;
+    let body = |n| Bytes::from(format!("{{\"order\":{n}}}"));
+    let first = load::Config {
+        kind: Kind::Run,
+        bodies: (0..BODIES).map(body).collect(),
+        ..searches(&fleet, "contracts-once", Pace::Open(RATE), SECONDS)
+    };
+    let mut second = first.clone();
+    second.targets.rotate_left(1);
+    let (one, two, failed) = join3(
+        load::run(&first),
+        load::run(&second),
+        break_everything(&mut fleet),
+    )
+    .await;
+    failed?;
+    sleep(Duration::from_secs(3)).await;
+    let mut runs = one?.runs;
+    runs.extend(two?.runs);
+    rows(&fleet, &runs).await
+}
+
+/// Lets each fault happen, some of them together.
+async fn break_everything(fleet: &mut Fleet) -> Result<(), Error> {
+    let platform = fleet.platform_address;
+    let seconds = |n| sleep(Duration::from_secs(n));
+    seconds(3).await;
+    control(platform, &json!({ "lose_replies": 40 })).await?;
+    seconds(3).await;
+    for upstream in &fleet.upstreams {
+        control(upstream.address, &json!({ "lose_replies": 5 })).await?;
+    }
+    seconds(2).await;
+    fleet.instances[1].process.kill();
+    seconds(1).await;
+    control(platform, &json!({ "mode": "down" })).await?;
+    seconds(2).await;
+    control(platform, &json!({ "mode": "ok", "lose_replies": 40 })).await?;
+    fleet.restart(1)?;
+    seconds(2).await;
+    fleet.instances[2].process.pause();
+    fleet.instances[4].process.pause();
+    seconds(3).await;
+    fleet.instances[4].process.kill();
+    fleet.instances[2].process.resume();
+    seconds(2).await;
+    fleet.restart(4)?;
+    let late = json!({ "mode": "slow", "delay_ms": 1_500, "late_writes": true });
+    control(platform, &late).await?;
+    seconds(3).await;
+    control(platform, &json!({ "mode": "ok", "late_writes": false })).await?;
+    let crash = |n: usize| (fleet.upstreams[n].address, json!({ "crash": true }));
+    let ((a, crash_a), (b, crash_b)) = (crash(0), crash(1));
+    let (a, b) = join(control(a, &crash_a), control(b, &crash_b)).await;
+    a?;
+    b?;
+    seconds(2).await;
+    fleet.instances[0].process.terminate();
+    Ok(())
+}
+
+async fn rows(fleet: &Fleet, runs: &[RunRecord]) -> Result<Vec<Row>, Error> {
+    let mut executions: BTreeMap<Box<str>, u32> = BTreeMap::new();
+    for upstream in &fleet.upstreams {
+        for execution in record(upstream.address).await?.executions {
+            *executions.entry(execution.key).or_default() += 1;
+        }
+    }
+    let mut statuses: BTreeMap<&str, BTreeSet<Option<u16>>> = BTreeMap::new();
+    for run in runs {
+        statuses.entry(&run.key).or_default().insert(run.status);
+    }
+    let is_refusal = |status: &Option<u16>| status.is_some_and(|s| s >= 400 && s != 410);
+    let refused = statuses
+        .iter()
+        .filter(|(_, all)| all.iter().all(is_refusal));
+    let refused_but_ran = refused
+        .filter(|(key, _)| executions.contains_key(**key))
+        .count();
+    let told_done = statuses.iter().filter(|(_, all)| all.contains(&Some(200)));
+    let done_but_never_ran = told_done
+        .filter(|(key, _)| !executions.contains_key(**key))
+        .count();
+    let twice = executions.values().filter(|times| **times > 1).count();
+    let of = |wanted: Option<u16>| runs.iter().filter(|run| run.status == wanted).count();
+    let row = |name: &str, n: usize, target| Row::new(format!("once: {name}"), n as f64, target);
+    Ok(vec![
+        row("requests", runs.len(), Target::None),
+        row("keys that ran", executions.len(), Target::None),
+        row("keys that ran twice", twice, Target::AtMost(0.0)),
+        row(
+            "keys refused as not run that ran",
+            refused_but_ran,
+            Target::AtMost(0.0),
+        ),
+        row(
+            "keys told done that never ran",
+            done_but_never_ran,
+            Target::AtMost(0.0),
+        ),
+        row("answers: done", of(Some(200)), Target::None),
+        row("answers: unknown", of(Some(202)), Target::None),
+        row("answers: not run, 429", of(Some(429)), Target::None),
+        row("answers: not run, 503", of(Some(503)), Target::None),
+        row("answers: none", of(None), Target::None),
+    ])
+}
