--- a/crates/briarcove/src/serve/shell.rs
+++ b/crates/briarcove/src/serve/shell.rs
@@ -247,11 +247,8 @@
         self.published = now;
         let (instance, data_centre) = (self.cfg.instance.clone(), self.cfg.data_centre.clone());
         let uptime = self.clock.elapsed();
-        self.front.publish(Status::new(
-            instance,
-            data_centre,
-            uptime,
-            self.node.stats(),
-        ));
+        let mut status = Status::new(instance, data_centre, uptime, self.node.stats());
+        status.counts.peer_bytes = self.links.counters().bytes_out;
+        self.front.publish(status);
     }
 }
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -37,7 +37,7 @@
 type CounterSource = (&'static str, &'static str, fn(&Counts) -> u64);
 
 #[rustfmt::skip]
-const COUNTERS: [CounterSource; 14] = [
+const COUNTERS: [CounterSource; 15] = [
     ("searches_total", "Searches admitted.", |c| c.searches),
     ("runs_total", "Requests of the once class admitted.", |c| c.runs),
     ("first_attempts_total", "First attempts at sub-requests.", |c| c.first_attempts),
@@ -52,6 +52,7 @@
     ("claims_total", "Claims put on record.", |c| c.claims),
     ("platform_calls_total", "Calls to the platform.", |c| c.platform_calls),
     ("peer_messages_total", "Messages sent to peers.", |c| c.peer_messages),
+    ("peer_bytes_total", "Bytes sent to peers.", |c| c.peer_bytes),
 ];
 
 /// Name, help text and source of each gauge that the reducer keeps.
--- a/crates/front/src/status.rs
+++ b/crates/front/src/status.rs
@@ -68,6 +68,8 @@
     pub platform_calls: u64,
     /// Messages sent to peers.
     pub peer_messages: u64,
+    /// Bytes sent to peers, as the links count them.
+    pub peer_bytes: u64,
 }
 
 impl Status {
@@ -118,6 +120,7 @@
             claims: stats.claims,
             platform_calls: stats.platform_calls,
             peer_messages: stats.peer_messages,
+            peer_bytes: 0,
         }
     }
 }
--- a/crates/rig/src/platform/control.rs
+++ b/crates/rig/src/platform/control.rs
@@ -26,6 +26,8 @@
     lose_replies: Option<u64>,
     late_writes: Option<bool>,
     pub(super) stale_reads: Option<bool>,
+    /// Serves the copy of the last `stale_reads` again.
+    pub(super) stale_again: Option<bool>,
 }
 
 /// Faults in force.
--- a/crates/rig/src/platform/mod.rs
+++ b/crates/rig/src/platform/mod.rs
@@ -4,7 +4,7 @@
 mod store;
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     net::{Ipv4Addr, SocketAddr},
     rc::Rc,
     time::{Duration, Instant},
@@ -60,7 +60,9 @@
 struct Platform {
     latency: Duration,
     store: RefCell<Store>,
+    /// Copy that stale reads see, and whether reads are stale.
     frozen: RefCell<Option<Store>>,
+    stale: Cell<bool>,
     faults: RefCell<Faults>,
     counters: RefCell<Counters>,
     watchers: RefCell<Vec<oneshot::Sender<()>>>,
@@ -99,6 +101,7 @@
             latency: cfg.latency,
             store: RefCell::default(),
             frozen: RefCell::default(),
+            stale: Cell::default(),
             faults: RefCell::default(),
             counters: RefCell::default(),
             watchers: RefCell::default(),
@@ -219,8 +222,8 @@
 
     fn with_visible<T>(&self, look: impl FnOnce(&Store) -> T) -> T {
         match &*self.frozen.borrow() {
-            Some(store) => look(store),
-            None => look(&self.store.borrow()),
+            Some(store) if self.stale.get() => look(store),
+            _ => look(&self.store.borrow()),
         }
     }
 
@@ -229,10 +232,16 @@
             return reply::empty(StatusCode::BAD_REQUEST);
         };
         match change.stale_reads {
-            Some(true) => *self.frozen.borrow_mut() = Some(self.store.borrow().clone()),
-            Some(false) => *self.frozen.borrow_mut() = None,
+            Some(true) => {
+                *self.frozen.borrow_mut() = Some(self.store.borrow().clone());
+                self.stale.set(true);
+            }
+            Some(false) => self.stale.set(false),
             None => {}
         }
+        if let Some(again) = change.stale_again {
+            self.stale.set(again);
+        }
         self.faults.borrow_mut().apply(&change);
         self.wake_watchers();
         self.report()
--- a/crates/rig/src/report/mod.rs
+++ b/crates/rig/src/report/mod.rs
@@ -1,9 +1,11 @@
 //! Measures the targets of the policy on separate processes, with the baseline of the same build.
 
 mod classes;
+mod configuration;
 mod crashing;
 mod leaving;
 mod scarce;
+mod snapshots;
 mod speed;
 mod stragglers;
 mod table;
@@ -23,13 +25,15 @@
 };
 
 /// Experiments in the order in which they run.
-pub const EXPERIMENTS: [&str; 6] = [
+pub const EXPERIMENTS: [&str; 8] = [
     "speed",
     "stragglers",
     "scarce",
     "classes",
     "crashing",
     "leaving",
+    "configuration",
+    "snapshots",
 ];
 
 /// Bodies of the searches.
@@ -105,6 +109,8 @@
         "classes" => classes::run().await,
         "crashing" => crashing::run().await,
         "leaving" => leaving::run().await,
+        "configuration" => configuration::run().await,
+        "snapshots" => snapshots::run().await,
         _ => stragglers::run().await,
     }
 }
--- /dev/null
+++ b/crates/rig/src/report/snapshots.rs
@@ -0,0 +1,124 @@
+//! Snapshots: a new split into shards is published while queries run.
+
+use std::time::Duration;
+
+use futures_util::future::join;
+use serde_json::{Value, json};
+
+use super::{Error, Row, Target, WARM_UP, counts, millis, searches};
+use crate::{
+    fleet::{Fleet, FleetPlan, ServicePlan, control, put_object},
+    load::{self, Kept, Pace},
+    upstream::Params,
+};
+
+/// Searches a second.
+const RATE: f64 = 100.0;
+/// Duration of each load, in seconds.
+const SECONDS: f64 = 10.0;
+/// Pause between the switches of two upstreams.
+const SWITCH_PAUSE: Duration = Duration::from_millis(300);
+
+/// Switches upstreams one after the other from snapshot 1 to 2 and counts mixed answers.
+pub(super) async fn run() -> Result<Vec<Row>, Error> {
+    let service = ServicePlan {
+        upstreams: 8,
+        shards: 16,
+        unpublished_shards: 24,
+        params: Params {
+            slots: 32,
+            service_us: 3_000,
+            ..Params::default()
+        },
+        ..ServicePlan::default()
+    };
+    let plan = FleetPlan {
+        data_centres: vec![("a".into(), 3)],
+        services: vec![service],
+        ..FleetPlan::default()
+    };
+    let fleet = Fleet::start(plan).await?;
+    for upstream in &fleet.upstreams {
+        control(upstream.address, &json!({ "snapshots": [1] })).await?;
+    }
+    let cfg = load::Config {
+        keep: true,
+        ..searches(&fleet, "contracts-coverage", Pace::Open(RATE), SECONDS)
+    };
+    let warm_up = load::Config {
+        duration: WARM_UP,
+        ..cfg.clone()
+    };
+    load::run(&warm_up).await?;
+    let calm = load::run(&cfg).await?;
+    let before = counts(&fleet, &["replans"]).await?;
+    let (changing, switched) = join(load::run(&cfg), switch(&fleet)).await;
+    let changing = changing?;
+    switched?;
+    compio::time::sleep(Duration::from_millis(300)).await;
+    let replans = counts(&fleet, &["replans"]).await?[0] - before[0];
+    let mixed = changing.kept.iter().filter(|reply| is_mixed(reply)).count();
+    let of = |id| {
+        changing
+            .kept
+            .iter()
+            .filter(|r| snapshot(r) == Some(id))
+            .count()
+    };
+    let complete = |r: &load::Report| 100.0 * r.coverage.full as f64 / r.all.count as f64;
+    let answers = format!("snapshots: of {} and {} answers, mixed ones", of(1), of(2));
+    let row = |name: &str, after, before| {
+        Row::new(format!("snapshots: {name}"), after, Target::None).against(before)
+    };
+    Ok(vec![
+        Row::new(answers, mixed as f64, Target::AtMost(0.0)),
+        row("complete answers, %", complete(&changing), complete(&calm)),
+        row(
+            "searches planned again, %",
+            100.0 * replans / changing.all.count as f64,
+            0.0,
+        ),
+        row(
+            "p50 of an answer, ms",
+            millis(changing.all.p50),
+            millis(calm.all.p50),
+        ),
+        row(
+            "p99 of an answer, ms",
+            millis(changing.all.p99),
+            millis(calm.all.p99),
+        ),
+    ])
+}
+
+/// Publishes both snapshots, then switches the upstreams one after the other.
+async fn switch(fleet: &Fleet) -> Result<(), Error> {
+    compio::time::sleep(Duration::from_secs(1)).await;
+    let index = fleet.plan.services[0].index(1, 2);
+    let index = serde_json::to_string(&index).unwrap_or_default();
+    put_object(fleet.platform_address, "/v1/objects/index/contracts", index).await?;
+    for snapshots in [json!([1, 2]), json!([2])] {
+        for upstream in &fleet.upstreams {
+            control(upstream.address, &json!({ "snapshots": snapshots })).await?;
+            compio::time::sleep(SWITCH_PAUSE).await;
+        }
+    }
+    Ok(())
+}
+
+fn snapshot(reply: &Kept) -> Option<u64> {
+    let answer: Value = serde_json::from_slice(&reply.body).ok()?;
+    answer["snapshot"].as_u64()
+}
+
+/// Returns whether a hit comes from another snapshot than the answer names.
+fn is_mixed(reply: &Kept) -> bool {
+    if reply.status != 200 {
+        return false;
+    }
+    let answer: Value = serde_json::from_slice(&reply.body).unwrap_or_default();
+    let prefix = format!("{}-", answer["snapshot"]);
+    let hits = answer["hits"].as_array().into_iter().flatten();
+    let mut ids = hits.map(|hit| hit["id"].as_str().unwrap_or_default());
+    ids.any(|id| !id.starts_with(&prefix))
+}
