node: end attempts that were relayed to a removed instance

The process test of a killed instance (3 instances, deadline 10 s, coverage class): four searches in flight at the kill waited for the whole deadline and missed 2 of 8 shards.

Cause: attempts relayed to an instance were ended only once its address was forgotten, which a removed member's is 600 s later. They now end when the member leaves the view.

Ruled out: a take-over that waits for the killed instance (owners ask members in the view only).

Before: the new test fails (no answer 4 s after the kill). After: it passes, as do the 60 others. Left: attempts relayed to an instance that restarts before it is removed still wait for a hedge or for their share of the deadline.

--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -231,7 +231,7 @@
     /// Ends the attempts that were relayed to members which are gone.
     fn end_lost_relays(&mut self, now: Time, effects: &mut Vec<Effect>) {
         let is_lost = |stage: &Stage| match stage {
-            Stage::Relayed(peer) => self.members.address(peer).is_none(),
+            Stage::Relayed(peer) => self.members.incarnation(peer).is_none(),
             Stage::Queued | Stage::Sent | Stage::Cancelled => false,
         };
         let lost: Vec<AttemptKey> = self
--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -6,6 +6,7 @@
 mod claims;
 mod fleet;
 mod history;
+mod lost_owner;
 mod members;
 mod search;
 mod slots;
