--- a/crates/rig/src/sim/world.rs
+++ b/crates/rig/src/sim/world.rs
@@ -288,6 +288,16 @@
         self.instances[instance].cost
     }
 
+    /// Returns the size of all objects that instances wrote to the platform.
+    pub fn written_bytes(&self) -> u64 {
+        self.platform.written_bytes
+    }
+
+    /// Returns the processor time that all reducers took together.
+    pub fn reducer_time(&self) -> Duration {
+        self.instances.iter().map(|i| i.cost.processor).sum()
+    }
+
     /// Returns the encoded size of all messages between instances.
     pub fn peer_bytes(&self) -> u64 {
         self.peer_bytes
@@ -476,6 +486,7 @@
         instance.draining = false;
         instance.paused_until = Time::ZERO;
         instance.held.clear();
+        instance.wake = self.now;
         let identity = Identity {
             instance: instance.name.clone(),
             data_centre: instance.data_centre.clone(),
@@ -484,6 +495,7 @@
         };
         let seed = self.rng.random();
         instance.node = Some(Node::new(identity, self.config.clone(), self.now, seed));
+        instance.wake = self.now;
         let life = instance.life;
         self.later(
             self.now,
@@ -529,6 +541,10 @@
     fn hand_over(&mut self, index: usize, life: u64, event: Event) {
         let instance = &mut self.instances[index];
         if let Event::Tick = event {
+            if self.now < instance.wake {
+                // An earlier wake has replaced this one.
+                return;
+            }
             instance.wake = Time::NEVER;
         }
         let Some(node) = &mut instance.node else {
