--- a/crates/rig/src/report/mod.rs
+++ b/crates/rig/src/report/mod.rs
@@ -1,10 +1,12 @@
 //! Measures the targets of the policy on separate processes, with the baseline of the same build.
 
 mod classes;
+mod configuration;
 mod crashing;
 mod leaving;
 mod once;
 mod scarce;
+mod snapshots;
 mod speed;
 mod stragglers;
 mod table;
@@ -24,7 +26,7 @@
 };
 
 /// Experiments in the order in which they run.
-pub const EXPERIMENTS: [&str; 7] = [
+pub const EXPERIMENTS: [&str; 9] = [
     "speed",
     "stragglers",
     "scarce",
@@ -32,6 +34,8 @@
     "crashing",
     "leaving",
     "once",
+    "configuration",
+    "snapshots",
 ];
 
 /// Bodies of the searches.
@@ -108,6 +112,8 @@
         "crashing" => crashing::run().await,
         "leaving" => leaving::run().await,
         "once" => once::run().await,
+        "configuration" => configuration::run().await,
+        "snapshots" => snapshots::run().await,
         _ => stragglers::run().await,
     }
 }
