--- a/crates/node/src/membership.rs
+++ b/crates/node/src/membership.rs
@@ -100,17 +100,14 @@
 
     /// Returns the news that heartbeats carry.
     pub(crate) fn hints(&self, now: Time) -> Hints {
-        let leaving = self.upstreams.iter().filter_map(|upstream| {
-            let age = upstream.leaving_age(now)?;
-            Some(LeavingUpstream {
-                upstream: self
-                    .directory
-                    .names()
-                    .name(upstream.declared.id)
-                    .to_string(),
+        let names = self.directory.names();
+        let leaving = self
+            .upstreams
+            .leaving(now)
+            .map(|(id, age)| LeavingUpstream {
+                upstream: names.name(id).to_string(),
                 age_ms: millis(age),
-            })
-        });
+            });
         let quarantine = self
             .quarantine
             .records(now)
@@ -219,12 +216,20 @@
     }
 
     fn update_routes(&mut self) {
-        let ids: Vec<UpstreamId> = self.upstreams.iter().map(|u| u.declared.id).collect();
-        for id in ids {
-            let reachable = self.owners.queues(id) || self.next_hop(id).is_some();
-            if let Some(upstream) = self.upstreams.get_mut(id) {
-                upstream.reachable = reachable;
-            }
+        let home = &self.identity.data_centre;
+        let mut others: HashMap<DataCentre, bool> = HashMap::new();
+        for upstream in self.upstreams.iter_mut() {
+            let declared = &upstream.declared;
+            upstream.reachable = if declared.data_centre == *home {
+                // The owner is this instance or one to relay to.
+                self.owners.queues(declared.id) || self.owners.owner(declared.id).is_some()
+            } else if let Some(&known) = others.get(&declared.data_centre) {
+                known
+            } else {
+                let known = self.members.live_in(&declared.data_centre).next().is_some();
+                others.insert(declared.data_centre.clone(), known);
+                known
+            };
         }
     }
 
--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -5,6 +5,7 @@
 use base::{DataCentre, Incarnation, InstanceName, OpId, RequestId, Time};
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
+use wire::Body;
 
 use crate::{
     admission::Admission,
@@ -146,7 +147,7 @@
 
     /// Takes one event at its time and appends what is to be done.
     pub fn on(&mut self, now: Time, event: Event, effects: &mut Vec<Effect>) {
-        let frequent = matches!(event, Event::Upstream(..) | Event::Call(..));
+        let frequent = is_frequent(&event);
         match event {
             Event::Tick => {}
             Event::Call(
@@ -254,3 +255,16 @@
         &self.stats
     }
 }
+
+/// Returns whether an event belongs to a query; the membership and the store's upkeep then wait for
+/// their own wakes.
+fn is_frequent(event: &Event) -> bool {
+    match event {
+        Event::Upstream(..) | Event::Call(..) => true,
+        Event::Peer(message) => matches!(
+            message.body,
+            Some(Body::Relay(_) | Body::Relayed(_) | Body::Cancel(_))
+        ),
+        Event::Tick | Event::CallerGone(_) | Event::Platform(..) | Event::Drain => false,
+    }
+}
--- a/crates/node/src/owners.rs
+++ b/crates/node/src/owners.rs
@@ -292,22 +292,22 @@
     members: &[InstanceName],
 ) -> HashMap<UpstreamId, InstanceName> {
     let most = (upstreams.len() * 5).div_ceil(members.len().max(1) * 4);
-    let mut owned: HashMap<&InstanceName, usize> = HashMap::new();
-    let mut assigned = HashMap::new();
+    let mut owned = vec![0; members.len()];
+    let mut assigned = HashMap::with_capacity(upstreams.len());
     for upstream in upstreams {
-        let has_room = |member: &&InstanceName| owned.get(member).is_none_or(|n| *n < most);
-        let rank = |member: &&InstanceName| weight(upstream.name, member);
-        let Some(owner) = members.iter().filter(has_room).max_by_key(rank) else {
+        let seed = xxh3_64_with_seed(upstream.name.as_str().as_bytes(), 0);
+        let with_room = (0..members.len()).filter(|&m| owned[m] < most);
+        let rank = |&m: &usize| weight(seed, &members[m]);
+        let Some(owner) = with_room.max_by_key(rank) else {
             continue;
         };
-        *owned.entry(owner).or_default() += 1;
-        assigned.insert(upstream.id, owner.clone());
+        owned[owner] += 1;
+        assigned.insert(upstream.id, members[owner].clone());
     }
     assigned
 }
 
-/// Returns the rendezvous weight of a member for an upstream.
-fn weight(upstream: &UpstreamName, member: &InstanceName) -> u64 {
-    let seed = xxh3_64_with_seed(upstream.as_str().as_bytes(), 0);
+/// Returns the rendezvous weight of a member for an upstream, whose name is hashed to the seed.
+fn weight(seed: u64, member: &InstanceName) -> u64 {
     xxh3_64_with_seed(member.as_str().as_bytes(), seed)
 }
--- a/crates/node/src/replies.rs
+++ b/crates/node/src/replies.rs
@@ -122,12 +122,12 @@
         age: Duration,
         effects: &mut Vec<Effect>,
     ) {
+        if !self.upstreams.leave(now, id, age) {
+            return;
+        }
         let Some(upstream) = self.upstreams.get_mut(id) else {
             return;
         };
-        if !upstream.leave(now, age) {
-            return;
-        }
         let waiting = std::mem::take(&mut upstream.queue);
         effects.push(Effect::Note(Note::UpstreamLeaving(
             self.directory.names().name(id).clone(),
--- a/crates/node/src/store.rs
+++ b/crates/node/src/store.rs
@@ -50,6 +50,7 @@
     indexes: BTreeMap<ServiceName, Rc<Index>>,
     liveness: BTreeMap<ServiceName, ServiceLiveness>,
     seen: Version,
+    newest: Version,
 }
 
 impl Store {
@@ -68,6 +69,8 @@
         if page.after <= self.seen {
             self.seen = self.seen.max(page.seen);
         }
+        let complete = self.all().map(|o| o.version).filter(|&v| v <= self.seen);
+        self.newest = complete.max().unwrap_or_default();
         changes
     }
 
@@ -80,11 +83,7 @@
     ///
     /// Unlike [`Store::seen`] it stands still while only objects of other kinds are written.
     pub fn newest(&self) -> Version {
-        let versions = self.all().map(|o| o.version);
-        versions
-            .filter(|&v| v <= self.seen)
-            .max()
-            .unwrap_or_default()
+        self.newest
     }
 
     /// Returns the revision in force with its catalogue.
--- a/crates/node/src/upstreams.rs
+++ b/crates/node/src/upstreams.rs
@@ -1,6 +1,9 @@
 //! What an instance knows of each upstream, and the choice of a replica.
 
-use std::{collections::VecDeque, time::Duration};
+use std::{
+    collections::{BTreeSet, VecDeque},
+    time::Duration,
+};
 
 use base::{DataCentre, SnapshotId, Time};
 use rand::{Rng, rngs::SmallRng};
@@ -92,7 +95,7 @@
     /// Records that the upstream takes no new work; returns whether that is news.
     ///
     /// `age` is the time since the first sign.
-    pub fn leave(&mut self, now: Time, age: Duration) -> bool {
+    fn leave(&mut self, now: Time, age: Duration) -> bool {
         let news = !self.is_leaving(now);
         if news {
             self.leaving_since = now - age;
@@ -152,6 +155,8 @@
 #[derive(Debug, Default)]
 pub struct Upstreams {
     list: Vec<Option<Upstream>>,
+    /// Upstreams that were leaving when the last one was added, and that one.
+    leaving: BTreeSet<UpstreamId>,
 }
 
 /// What a choice of a replica must take into account.
@@ -181,6 +186,29 @@
         self.list.iter().flatten()
     }
 
+    /// Returns all declared upstreams.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
+        self.list.iter_mut().flatten()
+    }
+
+    /// Records a sign that an upstream takes no new work; returns whether it is the first one.
+    pub fn leave(&mut self, now: Time, id: UpstreamId, age: Duration) -> bool {
+        let is_news = self.get_mut(id).is_some_and(|u| u.leave(now, age));
+        if is_news {
+            let mut leaving = std::mem::take(&mut self.leaving);
+            leaving.retain(|id| self.get(*id).is_some_and(|u| u.is_leaving(now)));
+            leaving.insert(id);
+            self.leaving = leaving;
+        }
+        is_news
+    }
+
+    /// Returns the upstreams that take no new work, with the time since the first sign of it.
+    pub fn leaving(&self, now: Time) -> impl Iterator<Item = (UpstreamId, Duration)> {
+        let leaving = self.leaving.iter().copied();
+        leaving.filter_map(move |id| Some((id, self.get(id)?.leaving_age(now)?)))
+    }
+
     /// Takes the declarations in force; what is known of upstreams that stay is kept.
     pub fn declare(&mut self, declared: Vec<Declared>) {
         let mut old = std::mem::take(&mut self.list);
--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -8,3 +8,4 @@
 mod members;
 mod search;
 mod store;
+mod upkeep;
--- /dev/null
+++ b/crates/node/tests/upkeep.rs
@@ -0,0 +1,85 @@
+//! Tests of the owners and of the list of leaving upstreams, whose upkeep must stay cheap.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use base::{InstanceName, Time, UpstreamName};
+use node::{
+    directory::{Declared, UpstreamId},
+    owners::{Local, Owners, View},
+    upstreams::Upstreams,
+};
+use quickcheck::quickcheck;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+fn names(count: usize) -> Vec<UpstreamName> {
+    let name = |n| format!("u-{n}").parse().unwrap();
+    (0..count).map(name).collect()
+}
+
+fn members(count: usize) -> Vec<InstanceName> {
+    let name = |n| format!("i-{n:03}").parse().unwrap();
+    (0..count).map(name).collect()
+}
+
+fn locals(names: &[UpstreamName]) -> Vec<Local<'_>> {
+    let local = |(id, name)| Local {
+        id: UpstreamId(id),
+        name,
+    };
+    (0..).zip(names).map(local).collect()
+}
+
+/// Chooses the member of greatest weight that has room, one upstream after the other.
+fn expected(names: &[UpstreamName], members: &[InstanceName]) -> Vec<InstanceName> {
+    let most = (names.len() * 5).div_ceil(members.len() * 4);
+    let mut owned: BTreeMap<&InstanceName, usize> = BTreeMap::new();
+    let mut owners = Vec::new();
+    for name in names {
+        let seed = xxh3_64_with_seed(name.as_str().as_bytes(), 0);
+        let with_room = members.iter().filter(|m| owned.get(m) < Some(&most));
+        let best = with_room.max_by_key(|m| xxh3_64_with_seed(m.as_str().as_bytes(), seed));
+        let best = best.unwrap();
+        *owned.entry(best).or_default() += 1;
+        owners.push(best.clone());
+    }
+    owners
+}
+
+quickcheck! {
+    fn owners_have_the_greatest_weight_within_the_bound(upstreams: u8, others: u8) -> bool {
+        let (names, members) = (names(upstreams.into()), members(1 + usize::from(others % 20)));
+        let view = View { working: members.clone(), ..View::default() };
+        let mut owners = Owners::new(members[0].clone());
+        owners.assign(Time::ZERO, &[locals(&names)], view);
+        let assigned = (0..u32::from(upstreams)).map(|id| owners.owner(UpstreamId(id)).unwrap());
+        assigned.eq(expected(&names, &members).iter())
+    }
+}
+
+#[test]
+fn leaving_upstreams_are_listed_until_the_sign_is_old() {
+    let mut upstreams = Upstreams::default();
+    let declared = |id| Declared {
+        id: UpstreamId(id),
+        address: "10.0.0.1:9000".parse().unwrap(),
+        data_centre: "a".parse().unwrap(),
+        service: "s".parse().unwrap(),
+        slots: 1,
+        connections: 1,
+    };
+    upstreams.declare((0..4).map(declared).collect());
+    let listed = |u: &Upstreams, at| u.leaving(at).collect::<Vec<_>>();
+    let (start, age) = (Time::from_millis(10_000), Duration::from_secs(2));
+    assert!(upstreams.leave(start, UpstreamId(2), age));
+    assert!(!upstreams.leave(start, UpstreamId(2), age));
+    assert!(!upstreams.leave(start, UpstreamId(9), age));
+    assert_eq!(listed(&upstreams, start), [(UpstreamId(2), age)]);
+    upstreams.declare((0..4).map(declared).collect());
+    assert_eq!(listed(&upstreams, start).len(), 1);
+    let late = start + Duration::from_secs(61);
+    assert!(listed(&upstreams, late).is_empty());
+    assert!(upstreams.leave(late, UpstreamId(1), Duration::ZERO));
+    assert_eq!(listed(&upstreams, late), [(UpstreamId(1), Duration::ZERO)]);
+    upstreams.declare(vec![declared(0)]);
+    assert!(listed(&upstreams, late).is_empty());
+}
