--- a/crates/node/src/node.rs
+++ b/crates/node/src/node.rs
@@ -10,7 +10,7 @@
 use crate::{
     admission::Admission,
     attempt::{AttemptKey, Attempts, QueryKey},
-    claims::{Claims, ClaimsConfig},
+    claims::{Claims, ClaimsConfig, Forwards},
     directory::Directory,
     effect::Effect,
     event::{Call, Event},
@@ -82,6 +82,7 @@
     pub(crate) queries: SlotMap<QueryKey, Query>,
     pub(crate) runs: Runs,
     pub(crate) claims: Claims,
+    pub(crate) forwards: Forwards,
     pub(crate) relayed_runs: RelayedRuns,
     pub(crate) attempts: Attempts,
     pub(crate) probes: Probes,
@@ -127,6 +128,7 @@
             queries: SlotMap::with_key(),
             runs: Runs::default(),
             claims: Claims::new(cfg.claims, seed),
+            forwards: Forwards::default(),
             relayed_runs: RelayedRuns::default(),
             attempts: Attempts::with_key(),
             probes: Probes::default(),
@@ -241,6 +243,7 @@
             Some(self.sync.next_wake()),
             Some(self.members.next_wake()),
             self.owners.next_wake(),
+            self.forwards.next_wake(),
         ];
         wakes.into_iter().flatten().min()
     }
--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -2,10 +2,12 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+mod blame;
 mod claims;
 mod fleet;
 mod history;
 mod members;
 mod search;
+mod slots;
 mod store;
 mod upkeep;
--- a/crates/rig/src/sim/world.rs
+++ b/crates/rig/src/sim/world.rs
@@ -288,6 +288,16 @@
         self.instances[instance].cost
     }
 
+    /// Returns the size of all objects that instances wrote to the platform.
+    pub fn written_bytes(&self) -> u64 {
+        self.platform.written_bytes
+    }
+
+    /// Returns the processor time that all reducers took together.
+    pub fn reducer_time(&self) -> Duration {
+        self.instances.iter().map(|i| i.cost.processor).sum()
+    }
+
     /// Returns the encoded size of all messages between instances.
     pub fn peer_bytes(&self) -> u64 {
         self.peer_bytes
@@ -476,6 +486,7 @@
         instance.draining = false;
         instance.paused_until = Time::ZERO;
         instance.held.clear();
+        instance.wake = self.now;
         let identity = Identity {
             instance: instance.name.clone(),
             data_centre: instance.data_centre.clone(),
