--- a/crates/rig/src/bench/catalogue.rs
+++ b/crates/rig/src/bench/catalogue.rs
@@ -11,13 +11,7 @@
 
 /// Sweeps the entries of one service, and the upstreams of many services.
 pub(super) fn run() {
-    let columns = [
-        "KB",
-        "ms to read",
-        "ms to compile",
-        "MB resident",
-        "is read",
-    ];
+    let columns = ["KB", "ms to read", "ms to compile", "is accepted"];
     let mut entries = Sweep::new("catalogue, entries", "entries", &columns);
     for count in [10, 100, 1_000, 2_000, 4_000, 10_000] {
         let scale = Scale {
