--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -11,3 +11,4 @@
 mod search;
 mod slots;
 mod store;
+mod upkeep;
