--- a/crates/rig/src/sim/scene.rs
+++ b/crates/rig/src/sim/scene.rs
@@ -194,7 +194,7 @@
         let upstreams = 0..self.upstreams;
         let mut config = self.config.clone();
         if self.instances > 1 {
-            config.members.seeds = vec![World::peer_address(0), World::peer_address(1)];
+            config.members.seeds = (0..self.instances).map(World::peer_address).collect();
         }
         Plan {
             instances: (0..self.instances).map(|n| self.data_centre(n)).collect(),
--- a/crates/rig/src/sim/world.rs
+++ b/crates/rig/src/sim/world.rs
@@ -21,6 +21,7 @@
 use wire::{Body, Envelope};
 
 use super::{
+    cost::Cost,
     network::Network,
     platform::{Outgoing, Platform},
     upstream::{self, Upstream, UpstreamPlan, Work},
@@ -142,6 +143,7 @@
     held: Vec<Event>,
     wake: Time,
     draining: bool,
+    cost: Cost,
 }
 
 /// Something that is going to happen.
@@ -159,8 +161,15 @@
     },
     AtUpstream(SocketAddr, Work),
     Finished(SocketAddr, u64),
-    /// A cancellation reaches the upstream of an attempt.
-    Cancel(usize, u64, AttemptId),
+    Cancel {
+        instance: usize,
+        life: u64,
+        attempt: AttemptId,
+    },
+    Stopped {
+        instance: usize,
+        life: u64,
+    },
     WatchesEnd,
     Restart(usize),
     /// The pause of an instance ends, in one of its lives.
@@ -189,7 +198,6 @@
     calls: u64,
     requests: BTreeMap<(usize, CallId), RequestId>,
     peer_bytes: u64,
-    reducer_time: Duration,
     /// Everything that was seen.
     pub history: History,
     /// Answers by request, with the time from call to answer.
@@ -226,7 +234,6 @@
             calls: 0,
             requests: BTreeMap::new(),
             peer_bytes: 0,
-            reducer_time: Duration::ZERO,
             history: History::default(),
             answers: BTreeMap::new(),
             called_at: BTreeMap::new(),
@@ -244,6 +251,7 @@
                 held: Vec::new(),
                 wake: Time::NEVER,
                 draining: false,
+                cost: Cost::default(),
             });
             world.start(index);
         }
@@ -280,9 +288,9 @@
         self.platform.written_bytes
     }
 
-    /// Returns the real time that all reducers took together.
-    pub fn reducer_time(&self) -> Duration {
-        self.reducer_time
+    /// Returns what an instance has used in all its lives.
+    pub fn cost(&self, instance: usize) -> Cost {
+        self.instances[instance].cost
     }
 
     /// Returns the encoded size of all messages between instances.
@@ -454,7 +462,12 @@
             }
             Happening::AtUpstream(address, work) => self.at_upstream(address, work),
             Happening::Finished(address, number) => self.finished(address, number),
-            Happening::Cancel(instance, life, attempt) => self.cancel(instance, life, attempt),
+            Happening::Cancel {
+                instance,
+                life,
+                attempt,
+            } => self.cancel(instance, life, attempt),
+            Happening::Stopped { instance, life } => self.stopped(instance, life),
             Happening::WatchesEnd => self.answer_watches(),
             Happening::Restart(instance) => self.start(instance),
             Happening::Resume(instance, life) => self.resume(instance, life),
@@ -532,10 +545,10 @@
             return;
         };
         let mut effects = Vec::new();
-        let start = std::time::Instant::now();
-        node.on(self.now, event, &mut effects);
-        node.settle(&mut effects);
-        self.reducer_time += start.elapsed();
+        instance.cost.measure(|| {
+            node.on(self.now, event, &mut effects);
+            node.settle(&mut effects);
+        });
         let wake = node.next_wake().unwrap_or(Time::NEVER);
         let wake = wake.max(self.now + Duration::from_micros(1));
         if wake < instance.wake {
@@ -574,9 +587,13 @@
                 self.later(at, Happening::AtUpstream(address, work));
             }
             Effect::Cancel(attempt) => {
-                // It does not overtake the request.
-                let at = self.now + HOP * 2;
-                self.later(at, Happening::Cancel(index, life, attempt));
+                // A cancellation reaches the upstream after the request that it names.
+                let cancel = Happening::Cancel {
+                    instance: index,
+                    life,
+                    attempt,
+                };
+                self.later(self.now + HOP * 2, cancel);
             }
             Effect::Platform(op, call) => {
                 let at = self.now + PLATFORM_HOP + self.jitter();
@@ -603,7 +620,16 @@
                 );
             }
             Effect::Note(_) => {}
-            Effect::Stop => self.stopped(index),
+            Effect::Stop => {
+                // Requests that have arrived by now are still refused before the process ends.
+                self.later(
+                    self.now + HOP,
+                    Happening::Stopped {
+                        instance: index,
+                        life,
+                    },
+                );
+            }
         }
     }
 
@@ -622,9 +648,11 @@
         self.answers.insert(request, (answer, took));
     }
 
-    fn stopped(&mut self, index: usize) {
+    fn stopped(&mut self, index: usize, life: u64) {
         let instance = &mut self.instances[index];
-        instance.node = None;
+        if instance.life != life || instance.node.take().is_none() {
+            return;
+        }
         let name = instance.name.clone();
         self.history
             .push(self.now, Seen::Drained { instance: name });
@@ -642,6 +670,7 @@
             body: Some(body),
         };
         self.peer_bytes += prost::Message::encoded_len(&envelope) as u64;
+        self.instances[from].cost.sent(&envelope);
         if !self.network.passes(self.now, from, target) {
             return;
         }
@@ -814,21 +843,21 @@
 
     /// Takes an abandoned search from its upstream; a run is carried out all the same.
     fn cancel(&mut self, instance: usize, life: u64, attempt: AttemptId) {
+        let named = |work: &Work| {
+            let same = work.instance == instance && work.life == life && work.attempt == attempt;
+            same && matches!(work.sub, SubRequest::Search { .. })
+        };
         for upstream in self.upstreams.values_mut() {
-            upstream.works.retain(|_, work| {
-                let named = work.instance == instance && work.life == life;
-                !(named && work.attempt == attempt && matches!(work.sub, SubRequest::Search { .. }))
-            });
+            let number = upstream
+                .works
+                .iter()
+                .find(|(_, work)| named(work))
+                .map(|(n, _)| *n);
+            let Some(work) = number.and_then(|number| upstream.works.remove(&number)) else {
+                continue;
+            };
+            return self.report(&work, UpstreamEvent::Failed(Failure::Cancelled));
         }
-        let event = Event::Upstream(attempt, UpstreamEvent::Failed(Failure::Cancelled));
-        self.later(
-            self.now + HOP,
-            Happening::Event {
-                instance,
-                life,
-                event,
-            },
-        );
     }
 
     fn break_upstream(&mut self, address: SocketAddr) {
