--- a/crates/rig/src/bin/claims-bench.rs
+++ b/crates/rig/src/bin/claims-bench.rs
@@ -9,7 +9,7 @@
 use base::Rate;
 use bytes::Bytes;
 use cat::{Class, Limits};
-use node::Answer;
+use node::{Answer, Reason};
 use rig::sim::{Scene, UpstreamPlan, World};
 
 /// Instances that share the load.
@@ -57,6 +57,9 @@
         };
         scene.config.claims.buckets = self.buckets;
         scene.config.claims.interval = self.interval;
+        // A change that is left to another instance waits for up to two of its writes.
+        let wait = &mut scene.config.claims.forward_wait;
+        *wait = (*wait).max(self.interval * 3);
         scene
     }
 
@@ -100,10 +103,11 @@
             .answers
             .iter()
             .filter(|(r, _)| r.0 > u128::from(first));
-        let (mut took, mut refused) = (Vec::new(), 0_u64);
+        let (mut took, mut refused, mut full) = (Vec::new(), 0_u64, 0_u64);
         for (_, (answer, time)) in measured {
             match answer {
                 Answer::Done { .. } => took.push(*time),
+                Answer::Refused(refusal) if refusal.reason == Reason::ClaimsFull => full += 1,
                 _ => refused += 1,
             }
         }
@@ -117,12 +121,13 @@
         let writes = (after.writes - before.writes).max(1);
         let cpu = (after.cpu - before.cpu).as_secs_f64() * 1e6 / claims as f64;
         println!(
-            "{:>7} {:>7} {:>8.0} {:>9.0} {:>8} {:>8.0} {:>8.0} {:>7.1} {:>8.1} {:>8.1} {:>8.1} {:>8.1}",
+            "{:>7} {:>7} {:>8.0} {:>9.0} {:>8} {:>8} {:>8.0} {:>8.0} {:>7.1} {:>8.1} {:>8.1} {:>8.1} {:>8.1}",
             self.rate,
             self.buckets,
             self.interval.as_secs_f64() * 1e3,
             per_second(before.claims, after.claims),
             refused,
+            full,
             per_second(before.writes, after.writes),
             per_second(before.calls, after.calls),
             claims as f64 / writes as f64,
@@ -159,10 +164,10 @@
 
 fn main() {
     println!(
-        "offered buckets interval  claims/s  refused writes/s  calls/s   batch      p50      p99   cpu us    MiB/s"
+        "offered buckets interval  claims/s  refused     full writes/s  calls/s   batch      p50      p99   cpu us    MiB/s"
     );
     println!(
-        "                      ms                                                  ms       ms    claim  written"
+        "                      ms                                                           ms       ms    claim  written"
     );
     let setups = [
         (2_000, 64, 5),
