--- a/crates/rig/src/report/mod.rs
+++ b/crates/rig/src/report/mod.rs
@@ -1,9 +1,12 @@
 //! Measures the targets of the policy on separate processes, with the baseline of the same build.
 
 mod classes;
+mod configuration;
 mod crashing;
 mod leaving;
+mod once;
 mod scarce;
+mod snapshots;
 mod speed;
 mod stragglers;
 mod table;
@@ -23,13 +26,16 @@
 };
 
 /// Experiments in the order in which they run.
-pub const EXPERIMENTS: [&str; 6] = [
+pub const EXPERIMENTS: [&str; 9] = [
     "speed",
     "stragglers",
     "scarce",
     "classes",
     "crashing",
     "leaving",
+    "once",
+    "configuration",
+    "snapshots",
 ];
 
 /// Bodies of the searches.
@@ -105,6 +111,9 @@
         "classes" => classes::run().await,
         "crashing" => crashing::run().await,
         "leaving" => leaving::run().await,
+        "once" => once::run().await,
+        "configuration" => configuration::run().await,
+        "snapshots" => snapshots::run().await,
         _ => stragglers::run().await,
     }
 }
