--- a/crates/node/src/claims.rs
+++ b/crates/node/src/claims.rs
@@ -66,13 +66,13 @@
 impl Default for ClaimsConfig {
     fn default() -> Self {
         Self {
-            buckets: 64,
+            buckets: 32,
             bounds: Bounds {
                 bytes: PLATFORM_OBJECT_BYTES - OBJECT_MARGIN_BYTES,
                 retention: Duration::from_secs(600),
             },
             linger: Duration::from_micros(500),
-            interval: Duration::from_millis(5),
+            interval: Duration::from_millis(100),
             batch: 1_024,
             queue: 4_096,
             cache_bytes: 32 << 20,
