--- a/crates/node/tests/main.rs
+++ b/crates/node/tests/main.rs
@@ -8,6 +8,7 @@
 mod history;
 mod lost_owner;
 mod members;
+mod quantile;
 mod search;
 mod slots;
 mod store;
