--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -26,10 +26,10 @@
 const MAX_WINDOW: f64 = 4_096.0;
 
 /// Factor by which the window shrinks when sub-requests wait too long for a slot.
-const SHRINK: f64 = 0.75;
+const SHRINK: f64 = 0.85;
 
 /// Share of an entry's deadline that a sub-request may wait for a slot, as a divisor.
-const WAIT_DIVISOR: u32 = 8;
+const WAIT_DIVISOR: u32 = 5;
 
 /// Limits of one entry with their present use.
 #[derive(Debug)]
