node: bound a young hedge delay by that of the service; codec of relays apart

Cause: with 100 shards about one has two stragglers among its first samples and starts at the slow time; a hundredth of the searches then waits for it, which is the 99th percentile.

--- a/crates/node/src/quantile.rs
+++ b/crates/node/src/quantile.rs
@@ -11,6 +11,9 @@
 /// Smallest step, in microseconds.
 const MIN_STEP_US: u64 = 10;
 
+/// Samples after which an estimate no longer depends on how it started.
+const SETTLED_SAMPLES: u32 = 1_024;
+
 /// Samples below the estimate in a row after which the steps down grow.
 const LONG_RUN: u64 = 64;
 
@@ -70,6 +73,11 @@
         (self.estimate_us * STEP_PERMILLE / 1_000).max(MIN_STEP_US)
     }
 
+    /// Returns whether the estimate no longer depends on how it started.
+    pub fn is_settled(&self) -> bool {
+        self.samples >= SETTLED_SAMPLES
+    }
+
     /// Returns the estimate, or `None` before there are enough samples.
     pub fn get(&self) -> Option<Duration> {
         (self.samples >= MIN_SAMPLES).then(|| Duration::from_micros(self.estimate_us))
--- a/crates/node/src/query.rs
+++ b/crates/node/src/query.rs
@@ -226,14 +226,26 @@
 /// Share of the deadline after which a hedge is sent when no latency is known, as a divisor.
 const DEFAULT_HEDGE_DIVISOR: u32 = 4;
 
+/// Bound of a shard's estimate while it has few samples, as a multiple of its service's.
+const SERVICE_FACTOR: u32 = 2;
+
 /// Shortest wait before a hedge.
 const MIN_HEDGE_DELAY: Duration = Duration::from_millis(1);
 
 impl Query {
     /// Returns how long an attempt at a part may take before a hedge is considered.
+    ///
+    /// The estimate of a shard with few samples is bounded by that of its service: two stragglers
+    /// among the first samples would otherwise keep the shard without hedges for hundreds of
+    /// searches.
     pub fn hedge_delay(&self, part: u32) -> Duration {
-        let shard = self.shard(part).latency.borrow().get();
-        let usual = shard.or_else(|| self.entry.service.latency.borrow().get());
+        let shard = *self.shard(part).latency.borrow();
+        let service = self.entry.service.latency.borrow().get();
+        let usual = match (shard.get(), service) {
+            (Some(own), Some(all)) if !shard.is_settled() => Some(own.min(all * SERVICE_FACTOR)),
+            (Some(own), _) => Some(own),
+            (None, all) => all,
+        };
         let whole = self.deadline.since(self.arrived);
         usual
             .unwrap_or(whole / DEFAULT_HEDGE_DIVISOR)
--- /dev/null
+++ b/crates/node/src/relay/codec.rs
@@ -0,0 +1,121 @@
+//! Results of sub-requests as messages between instances.
+
+use std::time::Duration;
+
+use base::{RequestId, SnapshotId};
+use bytes::Bytes;
+use wire::{RelayResult, ResultCode};
+
+use crate::{
+    event::{Failure, Reply, UpstreamEvent},
+    protocol::{Echo, Hit},
+};
+
+/// Reads a request id, which is 16 bytes, big-endian.
+pub(crate) fn read_request(bytes: &[u8]) -> Option<RequestId> {
+    let bytes: [u8; 16] = bytes.try_into().ok()?;
+    Some(RequestId(u128::from_be_bytes(bytes)))
+}
+
+pub(crate) fn refusal(attempt: u64, code: ResultCode) -> RelayResult {
+    RelayResult {
+        attempt,
+        code: code.into(),
+        ..RelayResult::default()
+    }
+}
+
+pub(super) fn write_result(attempt: u64, event: UpstreamEvent) -> RelayResult {
+    match event {
+        UpstreamEvent::Replied(reply) => RelayResult {
+            request: Bytes::copy_from_slice(&reply.echo.request.0.to_be_bytes()),
+            snapshot: reply.echo.snapshot.0,
+            shard: reply.echo.shard.to_string(),
+            echo: reply.echo.attempt,
+            hits: reply.hits.into_iter().map(write_hit).collect(),
+            draining: reply.draining,
+            ..refusal(attempt, ResultCode::Replied)
+        },
+        UpstreamEvent::NoSnapshot {
+            available,
+            draining,
+        } => RelayResult {
+            available: available.into_iter().map(|id| id.0).collect(),
+            draining,
+            ..refusal(attempt, ResultCode::NoSnapshot)
+        },
+        UpstreamEvent::Refused { draining: true, .. } => refusal(attempt, ResultCode::Leaving),
+        UpstreamEvent::Refused { .. } => refusal(attempt, ResultCode::Overloaded),
+        UpstreamEvent::Failed(Failure::Connect) => refusal(attempt, ResultCode::NotSent),
+        UpstreamEvent::Failed(Failure::Unrouted) => refusal(attempt, ResultCode::Unrouted),
+        UpstreamEvent::Failed(Failure::Broken) => refusal(attempt, ResultCode::Broke),
+        UpstreamEvent::Failed(_) => refusal(attempt, ResultCode::Invalid),
+        UpstreamEvent::Ran {
+            request,
+            outcome,
+            draining,
+        } => RelayResult {
+            request: Bytes::copy_from_slice(&request.0.to_be_bytes()),
+            outcome,
+            draining,
+            ..refusal(attempt, ResultCode::Ran)
+        },
+    }
+}
+
+pub(super) fn write_hit(hit: Hit) -> wire::Hit {
+    wire::Hit {
+        id: hit.id.into(),
+        score: hit.score,
+        text: hit.text.into(),
+    }
+}
+
+pub(super) fn read_hit(hit: wire::Hit) -> Hit {
+    Hit {
+        id: hit.id.into(),
+        score: hit.score,
+        text: hit.text.into(),
+    }
+}
+
+/// Reads a result and the time that the sub-request waited for a slot at its owner.
+pub(super) fn read_result(result: RelayResult) -> Option<(UpstreamEvent, Duration)> {
+    let queued = Duration::from_micros(result.queued_us);
+    let draining = result.draining;
+    let event = match ResultCode::try_from(result.code).ok()? {
+        ResultCode::Unspecified => return None,
+        ResultCode::Replied => UpstreamEvent::Replied(Reply {
+            echo: Echo {
+                request: read_request(&result.request)?,
+                attempt: result.echo,
+                snapshot: SnapshotId(result.snapshot),
+                shard: result.shard.parse().ok()?,
+            },
+            hits: result.hits.into_iter().map(read_hit).collect(),
+            draining,
+        }),
+        ResultCode::NoSnapshot => UpstreamEvent::NoSnapshot {
+            available: result.available.into_iter().map(SnapshotId).collect(),
+            draining,
+        },
+        ResultCode::Overloaded => UpstreamEvent::Refused {
+            retry_after: None,
+            draining: false,
+        },
+        ResultCode::Leaving => UpstreamEvent::Refused {
+            retry_after: None,
+            draining: true,
+        },
+        ResultCode::NotSent => UpstreamEvent::Failed(Failure::Connect),
+        ResultCode::Unrouted => UpstreamEvent::Failed(Failure::Unrouted),
+        ResultCode::Broke => UpstreamEvent::Failed(Failure::Broken),
+        ResultCode::Invalid => UpstreamEvent::Failed(Failure::Malformed),
+        ResultCode::Ran => UpstreamEvent::Ran {
+            request: read_request(&result.request)?,
+            outcome: result.outcome,
+            draining,
+        },
+    };
+    Some((event, queued))
+}
--- a/crates/node/tests/search.rs
+++ b/crates/node/tests/search.rs
@@ -173,3 +173,28 @@
     world.advance(Duration::from_secs(15));
     assert!(world.node(0).is_none(), "the shutdown has not ended");
 }
+
+#[test]
+fn hedges_recover_from_a_slow_start() {
+    let mut scene = Scene {
+        shards: 100,
+        upstreams: 20,
+        slots: 64,
+        ..Scene::default()
+    };
+    scene.upstream.slow_one_in = 5;
+    let mut world = scene.world();
+    for _ in 0..16 {
+        search(&mut world, Class::Latency, "harp");
+    }
+    for upstream in 0..20 {
+        let plan = world.upstream_plan(Scene::address(upstream)).unwrap();
+        plan.slow_one_in = 100;
+    }
+    let mut took: Vec<Duration> = (0..100)
+        .map(|_| search(&mut world, Class::Latency, "harp").1)
+        .collect();
+    took.drain(..30);
+    took.sort_unstable();
+    assert!(took[63] < Duration::from_millis(30), "p90 {:?}", took[63]);
+}
