--- a/crates/node/src/admission.rs
+++ b/crates/node/src/admission.rs
@@ -29,7 +29,7 @@
 const SHRINK: f64 = 0.85;
 
 /// Share of an entry's deadline that a sub-request may wait for a slot, as a divisor.
-const WAIT_DIVISOR: u32 = 5;
+const WAIT_DIVISOR: u32 = 3;
 
 /// Limits of one entry with their present use.
 #[derive(Debug)]
