node: the first hedge never goes to the upstream that is late

It was counted before the choice, so that the rule for later hedges let it go to the same upstream when that was the less loaded one. No test was found that failed before: with one late upstream its own attempts make it the more loaded one. search::first_hedge_goes_to_another_upstream pins the rule.

--- a/crates/node/src/search/hedge.rs
+++ b/crates/node/src/search/hedge.rs
@@ -73,10 +73,12 @@
         let overloaded = self.admission.is_overloaded(now, &entry.service.name);
         if state.hedges < MAX_HEDGES && !overloaded && self.can_hedge(now, key, part) {
             if self.admission.take_hedge(name) {
-                if let Some(query) = self.queries.get_mut(key) {
-                    query.parts[part as usize].hedges += 1;
-                }
                 self.attempt(now, key, part, Purpose::Hedge, effects);
+                // Counted after the choice: only later hedges may go to the same upstream again.
+                let query = self.queries.get_mut(key);
+                if let Some(state) = query.and_then(|q| q.parts.get_mut(part as usize)) {
+                    state.hedges += 1;
+                }
             } else if let Some(query) = self.queries.get_mut(key) {
                 query.parts[part as usize].check_at = now + CHECK_INTERVAL;
             }
--- a/crates/node/tests/search.rs
+++ b/crates/node/tests/search.rs
@@ -198,3 +198,23 @@
     took.sort_unstable();
     assert!(took[63] < Duration::from_millis(30), "p90 {:?}", took[63]);
 }
+
+#[test]
+fn first_hedge_goes_to_another_upstream() {
+    let scene = Scene {
+        upstreams: 2,
+        shards: 1,
+        ..Scene::default()
+    };
+    let mut world = scene.world();
+    for _ in 0..40 {
+        search(&mut world, Class::Latency, "harp");
+    }
+    let stuck = world.upstream_plan(Scene::address(0)).unwrap();
+    stuck.service_time = Duration::from_secs(10);
+    for _ in 0..20 {
+        let (found, took) = search(&mut world, Class::Latency, "harp");
+        assert_eq!(found.coverage.answered, 1);
+        assert!(took < Duration::from_millis(15), "took {took:?}");
+    }
+}
