edge: of many instances a few watch the store, and the others follow them

Change: with more than 40 instances two of each data centre watch (those with the most of a processor); the others follow one of them over the connection on which searches are handed over: news with revisions, a beat each 0.6 s, a word when it is cut off from the store. Without a word for 1.7 s, or with doubts by its own small reads, an instance watches by itself.

Tests: crates/tier/tests/follow.rs, and with real processes one_of_many_instances_follows_another_until_that_stands_still.

--- a/crates/briarcove/src/edge.rs
+++ b/crates/briarcove/src/edge.rs
@@ -74,6 +74,7 @@
     spawn(callers::accept(Rc::clone(&shell), callers)).detach();
     spawn(ops::accept(Rc::clone(&shell), readiness)).detach();
     spawn(ops::accept(Rc::clone(&shell), metrics)).detach();
+    spawn(peers::beat(Rc::clone(&shell))).detach();
     spawn(peers::accept(Rc::clone(&shell), others)).detach();
     sync::start(&shell);
     signals::watch_reload(&shell);
--- a/crates/briarcove/src/edge/peers.rs
+++ b/crates/briarcove/src/edge/peers.rs
@@ -1,10 +1,11 @@
-//! Connections between instances, on which searches are handed over.
+//! Connections between instances, on which searches are handed over and news are told.
 //!
 //! Each instance opens at most one connection to another and asks on it; the other one answers. A
 //! search whose frame was not written yet has not run; when a connection ends, that and no more is
 //! known of the searches on it.
 
 mod channel;
+mod feed;
 mod incoming;
 mod outgoing;
 
@@ -12,6 +13,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use wire::handover::Header;
 
+pub(super) use feed::{Feed, beat};
 pub(super) use incoming::accept;
 pub(super) use outgoing::Peers;
 
--- a/crates/briarcove/src/edge/peers/incoming.rs
+++ b/crates/briarcove/src/edge/peers/incoming.rs
@@ -70,11 +70,15 @@
                 }
                 Said::Withdrawn(call) => drop(running.borrow_mut().remove(&call)),
                 Said::Ping(_) => channel.push(Said::Pong(true)),
+                Said::Follow(follow) => shell.feed.follow(&channel, follow),
+                Said::Unfollow(_) => shell.feed.unfollow(&channel),
                 Said::Hand(_) | Said::Taken(_) | Said::Done(_) | Said::Pong(_) => {}
+                Said::News(_) | Said::Beat(_) | Said::Blind(_) => {}
             }
         }
     };
     let result = channel.run(socket, |said| Some(said.into()), receive).await;
+    shell.feed.unfollow(&channel);
     let left = std::mem::take(&mut *running.borrow_mut());
     drop(left);
     result
--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -8,13 +8,14 @@
     runtime::{JoinHandle, fd::PollFd, spawn},
     time::timeout,
 };
+use futures_channel::mpsc::{self, UnboundedReceiver, UnboundedSender};
 use http::StatusCode;
 use pipe::{Silence, link::watch_silence};
 use platform::{CallerRequest, UpstreamReply};
 use slog::{debug, warn};
 use socket2::Socket;
-use tier::{Event, Handed, effect::HandOver};
-use wire::handover::{Done, Frame, Hand, Said};
+use tier::{Event, Handed, Instance, effect::HandOver};
+use wire::handover::{Done, Follow, Frame, Hand, Said};
 
 use super::{channel::Channel, from_frame, to_frame};
 use crate::edge::shell::Shell;
@@ -38,10 +39,26 @@
     channel: Channel<Item>,
     /// Searches without an end, and whether they were sent.
     waiting: RefCell<HashMap<CallId, bool>>,
+    /// Where news of the instance go while it is followed.
+    news: RefCell<Option<UnboundedSender<Said>>>,
     task: RefCell<Option<JoinHandle<()>>>,
 }
 
 impl Peers {
+    /// Asks an instance for news, which end with its connection.
+    pub(in crate::edge) fn follow(
+        &self,
+        shell: &Rc<Shell>,
+        instance: &Instance,
+        ask: Follow,
+    ) -> UnboundedReceiver<Said> {
+        let peer = self.open(shell, &instance.name, instance.address);
+        let (tx, rx) = mpsc::unbounded();
+        *peer.news.borrow_mut() = Some(tx);
+        peer.channel.push(Item::Said(Said::Follow(ask)));
+        rx
+    }
+
     /// Hands a search to another instance.
     pub(in crate::edge) fn hand_over(&self, shell: &Rc<Shell>, order: HandOver<Rc<CallerRequest>>) {
         let peer = self.open(shell, &order.to, order.address);
@@ -91,6 +108,7 @@
             address,
             channel: Channel::default(),
             waiting: RefCell::default(),
+            news: RefCell::default(),
             task: RefCell::default(),
         });
         self.0.borrow_mut().insert(name.clone(), Rc::clone(&peer));
@@ -103,6 +121,7 @@
 impl Peer {
     /// Ends what was handed over; what was not sent has not run.
     fn end(&self, shell: &Rc<Shell>) {
+        drop(self.news.take());
         let waiting = std::mem::take(&mut *self.waiting.borrow_mut());
         for (call, was_sent) in waiting {
             let end = if was_sent {
@@ -137,6 +156,18 @@
         Some(Said::Hand(hand).into())
     }
 
+    /// Passes news on; an instance that nobody follows any more is told so.
+    fn tell(&self, said: Said) {
+        let is_wanted = match &*self.news.borrow() {
+            Some(news) => news.unbounded_send(said).is_ok(),
+            None => return,
+        };
+        if !is_wanted {
+            drop(self.news.take());
+            self.channel.push(Item::Said(Said::Unfollow(true)));
+        }
+    }
+
     fn receive(&self, shell: &Rc<Shell>, name: &InstanceName, said: Said) {
         match said {
             Said::Taken(_) | Said::Pong(_) => shell.dispatch(Event::Heard(name.clone())),
@@ -148,7 +179,12 @@
                     shell.dispatch(Event::HandedOver(call, end));
                 }
             }
-            Said::Hand(_) | Said::Withdrawn(_) | Said::Ping(_) => {
+            Said::News(_) | Said::Beat(_) | Said::Blind(_) => self.tell(said),
+            Said::Hand(_)
+            | Said::Withdrawn(_)
+            | Said::Ping(_)
+            | Said::Follow(_)
+            | Said::Unfollow(_) => {
                 warn!(shell.log, "an instance asks on a connection that it answers on";
                     "from" => %name);
             }
--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -13,11 +13,17 @@
 use futures_channel::oneshot;
 use pipe::ReadBuf;
 use platform::{Http, UpstreamReply};
-use rand::{Rng, SeedableRng, rngs::SmallRng};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use slog::Logger;
 use tier::{Answer, AttemptKey, Effect, Event, Settings, Tier};
 
-use super::{callers::Connections, lines::Lines, metrics::Metrics, peers::Peers, upstreams::Pools};
+use super::{
+    callers::Connections,
+    lines::Lines,
+    metrics::Metrics,
+    peers::{Feed, Peers},
+    upstreams::Pools,
+};
 
 /// Part of a wait by which instances differ, so that they don't call the store together.
 const SPREAD_SHARE: f64 = 0.25;
@@ -33,6 +39,7 @@
     pub(super) pools: Pools,
     pub(super) connections: Connections,
     pub(super) peers: Peers,
+    pub(super) feed: Feed,
     /// Requests that break upstreams, to be told to other instances.
     pub(super) to_quarantine: RefCell<VecDeque<u64>>,
     clock: Instant,
@@ -59,6 +66,7 @@
             pools: Pools::default(),
             connections: Connections::default(),
             peers: Peers::default(),
+            feed: Feed::default(),
             to_quarantine: RefCell::default(),
             clock: Instant::now(),
             queue: RefCell::default(),
@@ -79,6 +87,11 @@
         wait.mul_f64(1.0 - SPREAD_SHARE * self.rng.borrow_mut().random::<f64>())
     }
 
+    /// Returns some items that are chosen by chance.
+    pub(super) fn some_of<T>(&self, items: impl Iterator<Item = T>, most: usize) -> Vec<T> {
+        items.choose_multiple(&mut *self.rng.borrow_mut(), most)
+    }
+
     pub(super) fn is_ready(&self) -> bool {
         self.tier.borrow().is_ready()
     }
--- a/crates/briarcove/tests/edge.rs
+++ b/crates/briarcove/tests/edge.rs
@@ -269,3 +269,63 @@
         assert_eq!(answer.status(), 200, "search {round} after the kill");
     }
 }
+
+/// Returns how many replies to watches an instance has had from the store.
+fn watched(site: &Site) -> u64 {
+    let metrics = site.metrics().unwrap();
+    let name = "briarcove_store_calls_total{call=\"watch\",result=\"ok\"} ";
+    let count = metrics.lines().find_map(|line| line.strip_prefix(name));
+    count.map_or(0, |count| count.parse().unwrap())
+}
+
+/// Waits until an instance knows a route.
+fn knows(site: &Site, path: &str, within: Duration) -> bool {
+    let end = Instant::now() + within;
+    while Instant::now() < end {
+        if site.ask("GET", path, "n1", 1500).unwrap().status() == 200 {
+            return true;
+        }
+        thread::sleep(Duration::from_millis(50));
+    }
+    false
+}
+
+/// Of many instances only a few watch the store; the others hear of changes from those, and watch
+/// by themselves once they do not.
+#[test]
+fn one_of_many_instances_follows_another_until_that_stands_still() {
+    let mut site = Site::new(&folder("followed")).unwrap();
+    // Records of instances that are gone, so that there seem to be many.
+    for other in 0..45 {
+        let spec = serde_json::json!({"dataCentre": "there", "power": 0.01,
+            "address": format!("127.0.0.1:{}", 100 + other)});
+        site.store
+            .put("briarcove-instances", &format!("gone-{other}"), spec);
+    }
+    let spec = serde_json::json!({"dataCentre": "here", "power": 0.4, "address": "127.0.0.1:99"});
+    site.store.put("briarcove-instances", "gone-here", spec);
+    let quick = Behaviour::Replies(Duration::from_millis(2));
+    let desk = Upstream::start("desk-1", "desk", quick).unwrap();
+    site.register(&desk, "ready");
+    site.configure(1, &[route_one("/status/", "desk", true)], &["desk"]);
+    site.start(PROGRAM.as_ref()).unwrap();
+    let mut follower = site
+        .beside(&folder("follower"), "edge-here-2", 0.1)
+        .unwrap();
+    follower.start(PROGRAM.as_ref()).unwrap();
+    let end = Instant::now() + Duration::from_secs(12);
+    while !follower.log().unwrap().contains("following an instance") {
+        assert!(Instant::now() < end, "nobody is followed");
+        thread::sleep(Duration::from_millis(50));
+    }
+    let before = watched(&follower);
+    site.configure(2, &[route_one("/second/", "desk", true)], &["desk"]);
+    assert!(knows(&follower, "/second/1", Duration::from_millis(2_500)));
+    assert_eq!(watched(&follower), before);
+    site.signal(Signal::SIGSTOP).unwrap();
+    thread::sleep(Duration::from_millis(200));
+    site.configure(3, &[route_one("/third/", "desk", true)], &["desk"]);
+    assert!(knows(&follower, "/third/1", Duration::from_millis(3_000)));
+    assert!(follower.log().unwrap().contains("watching the store"));
+    site.signal(Signal::SIGCONT).unwrap();
+}
--- /dev/null
+++ b/crates/tier/src/follow.rs
@@ -0,0 +1,57 @@
+//! Which instances watch the platform, and which hear the news from those.
+//!
+//! Load pattern: a hundred instances and more, each of which waits for the same changes. Every
+//! reply to a watch is a call that the platform counts and carries, so the calls grow with the
+//! product of instances and changes. A few instances of each data centre watch, and the others
+//! follow one of them; any instance that has nobody to follow watches by itself.
+
+use std::hash::Hasher;
+
+use xxhash_rust::xxh3::Xxh3Default;
+
+use crate::handover::Instance;
+
+/// Instances up to which each watches by itself.
+pub const FEW_INSTANCES: usize = 40;
+
+/// Instances of a data centre that watch; one may be lost at any time.
+const WATCHERS: usize = 2;
+
+/// Returns whom an instance may follow, the best first; nobody when it has to watch by itself.
+pub fn candidates(all: &[Instance], own: &str) -> Vec<Instance> {
+    let Some(this) = all.iter().find(|it| it.name.as_str() == own) else {
+        return Vec::new();
+    };
+    if all.len() <= FEW_INSTANCES {
+        return Vec::new();
+    }
+    let mut by_power: Vec<&Instance> = all.iter().collect();
+    by_power.sort_by(|a, b| {
+        let power = b.power.total_cmp(&a.power);
+        power.then_with(|| a.name.cmp(&b.name))
+    });
+    let mut watchers: Vec<&Instance> = Vec::new();
+    for instance in by_power {
+        let same = |other: &&&Instance| other.data_centre == instance.data_centre;
+        if watchers.iter().filter(same).count() < WATCHERS {
+            watchers.push(instance);
+        }
+    }
+    if watchers.iter().any(|it| it.name == this.name) {
+        return Vec::new();
+    }
+    // Followers spread over the watchers of their data centre, and over all when those are lost.
+    watchers.sort_by_key(|it| {
+        let is_remote = it.data_centre != this.data_centre;
+        (is_remote, distance(own, it.name.as_str()))
+    });
+    watchers.into_iter().cloned().collect()
+}
+
+fn distance(a: &str, b: &str) -> u64 {
+    let mut hash = Xxh3Default::new();
+    hash.write(a.as_bytes());
+    hash.write(&[0]);
+    hash.write(b.as_bytes());
+    hash.finish()
+}
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -7,7 +7,8 @@
 //! upstream, [`admit`] turns work away, [`hedge`] sends a second attempt, [`ending`] ends a search,
 //! [`comeback`] tells callers when to return, [`budget`] bounds extra attempts, [`crash`] stops
 //! requests that break upstreams, [`valve`] keeps shards from drowning, [`reach`] notices that
-//! nothing is reached, [`handover`] chooses the instance that runs a search.
+//! nothing is reached, [`handover`] chooses the instance that runs a search,
+//! [`follow`] the few instances that watch the platform.
 
 pub mod admit;
 pub mod budget;
@@ -19,6 +20,7 @@
 pub mod effect;
 pub mod ending;
 pub mod event;
+pub mod follow;
 pub mod handover;
 pub mod hedge;
 pub mod latency;
--- a/crates/tier/tests/main.rs
+++ b/crates/tier/tests/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 mod decisions;
+mod follow;
 mod handover;
 mod load;
 mod world;
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -1,4 +1,4 @@
-//! Messages about searches that one instance runs for another.
+//! Messages about searches that one instance runs for another, and news of the platform.
 
 use bytes::Bytes;
 use prost::{Message, Oneof};
@@ -7,7 +7,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// What is said.
-    #[prost(oneof = "Said", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "Said", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub said: Option<Said>,
 }
 
@@ -32,6 +32,77 @@
     /// A sign of life.
     #[prost(bool, tag = "6")]
     Pong(bool),
+    /// Asks for news of the platform.
+    #[prost(message, tag = "7")]
+    Follow(Follow),
+    /// Asks for no more news.
+    #[prost(bool, tag = "8")]
+    Unfollow(bool),
+    /// News of the platform.
+    #[prost(message, tag = "9")]
+    News(News),
+    /// Everything up to these revisions was told, and the platform answers the sender.
+    #[prost(message, tag = "10")]
+    Beat(Beat),
+    /// The sender has no news of its own.
+    #[prost(bool, tag = "11")]
+    Blind(bool),
+}
+
+/// A request for news.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Follow {
+    /// Revision up to which the sender knows the configuration.
+    #[prost(uint64, tag = "1")]
+    pub config: u64,
+    /// Revision up to which the sender knows the upstreams.
+    #[prost(uint64, tag = "2")]
+    pub upstreams: u64,
+}
+
+/// Objects of one kind that were written or removed.
+#[derive(Clone, PartialEq, Message)]
+pub struct News {
+    /// 0 for the configuration, 1 for upstreams.
+    #[prost(uint32, tag = "1")]
+    pub kind: u32,
+    /// Revision up to which they are complete.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Whether these are all objects of the kind.
+    #[prost(bool, tag = "3")]
+    pub is_whole: bool,
+    /// The objects.
+    #[prost(message, repeated, tag = "4")]
+    pub objects: Vec<NewsObject>,
+}
+
+/// One object.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct NewsObject {
+    /// Name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Revision of its last change.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Whether it is gone.
+    #[prost(bool, tag = "3")]
+    pub is_gone: bool,
+    /// Its content as JSON.
+    #[prost(bytes = "bytes", tag = "4")]
+    pub spec: Bytes,
+}
+
+/// Revisions up to which everything was told.
+#[derive(Clone, Copy, PartialEq, Eq, Message)]
+pub struct Beat {
+    /// Of the configuration.
+    #[prost(uint64, tag = "1")]
+    pub config: u64,
+    /// Of the upstreams.
+    #[prost(uint64, tag = "2")]
+    pub upstreams: u64,
 }
 
 /// A search for another instance.
