edge: fewer calls while the store is away, and searches go where replicas are

Change: a second between looks with many instances; the next candidate is asked at once; the record is read before it is written; an instance is handed more searches where the replicas are (test a_search_goes_where_the_replicas_are); one line a list. Not measured yet.

--- a/crates/briarcove/src/edge/lines.rs
+++ b/crates/briarcove/src/edge/lines.rs
@@ -47,6 +47,9 @@
                 info!(self.log, "upstream seen"; "upstream" => %name, "service" => %service,
                     "address" => %address);
             }
+            Note::UpstreamsListed { seen, known } => {
+                info!(self.log, "upstreams listed"; "new" => seen, "known" => known);
+            }
             Note::UpstreamDraining(name, service) => {
                 info!(self.log, "upstream draining"; "upstream" => %name, "service" => %service);
             }
--- a/crates/briarcove/src/edge/metrics.rs
+++ b/crates/briarcove/src/edge/metrics.rs
@@ -99,6 +99,7 @@
                     .set(i64::try_from(*version).unwrap_or(i64::MAX));
                 return;
             }
+            Note::UpstreamsListed { .. } => "listed",
             Note::UpstreamSeen(..) => "seen",
             Note::UpstreamDraining(..) => "draining",
             Note::UpstreamGone(..) => "gone",
--- a/crates/briarcove/src/edge/sync.rs
+++ b/crates/briarcove/src/edge/sync.rs
@@ -41,6 +41,9 @@
 /// Interval of the small read while the store does not answer.
 const LOST_INTERVAL: Duration = Duration::from_millis(400);
 
+/// The same with many instances, whose refused calls would add up.
+const LOST_INTERVAL_OF_MANY: Duration = Duration::from_millis(1_000);
+
 /// Longest wait for the small read.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -158,10 +161,12 @@
 
     /// Returns the time until the next small read.
     fn probe_interval(&self) -> Duration {
+        let is_many = self.instances.get() > FEW_INSTANCES;
         match (self.lost.get(), self.is_following.get()) {
-            (true, _) => LOST_INTERVAL,
+            (_, true) => PROBE_INTERVAL * 2,
             (false, false) => PROBE_INTERVAL,
-            (false, true) => PROBE_INTERVAL * 2,
+            (true, false) if is_many => LOST_INTERVAL_OF_MANY,
+            (true, false) => LOST_INTERVAL,
         }
     }
 
@@ -214,12 +219,14 @@
 async fn probe(sync: Rc<Sync>) {
     let mut store = sync.store();
     let is_first_start = sync.shell.cfg.borrow().is_first_start;
-    let mut is_registered = records::register(&sync, &mut store).await;
-    if !is_first_start {
-        // The others have their records already.
-        records::read(&sync, &mut store).await;
+    let mut is_registered = if is_first_start {
+        records::register(&sync, &mut store).await
+    } else {
+        // The others have their records already, and so may this one.
+        let is_there = records::look(&sync, &mut store).await;
         sync.roles_known.set(true);
-    }
+        is_there
+    };
     let mut doubted = 0;
     let mut probes = 0_u32;
     loop {
--- a/crates/briarcove/src/edge/sync/following.rs
+++ b/crates/briarcove/src/edge/sync/following.rs
@@ -45,7 +45,6 @@
                     "instance" => %candidate.name, "why" => ?left);
                 // The store may be away for this instance too, which its next read tells.
                 sync.look_now.set(true);
-                break;
             }
         }
         sleep(sync.shell.spread(ASK_AGAIN)).await;
--- a/crates/briarcove/src/edge/sync/records.rs
+++ b/crates/briarcove/src/edge/sync/records.rs
@@ -61,7 +61,7 @@
     let Some(records) = read(sync, store).await else {
         return true;
     };
-    if !sync.is_following.get() {
+    if sync.roles_known.get() && !sync.is_following.get() {
         remove_gone(sync, store, &records).await;
     }
     let name = sync.shell.cfg.borrow().instance.clone();
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -220,6 +220,13 @@
     },
     /// An upstream came, changed or started again.
     UpstreamSeen(UpstreamName, ServiceName, SocketAddr),
+    /// All entries of upstreams were read.
+    UpstreamsListed {
+        /// Upstreams that are new or have started again.
+        seen: usize,
+        /// Upstreams that are known.
+        known: usize,
+    },
     /// An upstream takes no new work.
     UpstreamDraining(UpstreamName, ServiceName),
     /// An upstream is gone.
--- a/crates/tier/src/handover.rs
+++ b/crates/tier/src/handover.rs
@@ -21,8 +21,12 @@
 /// How many times the own processor another instance needs, so that the way there pays.
 const LEAST_RATIO: f64 = 2.0;
 
-/// Factor on the load of an instance in another data centre.
-const REMOTE_FACTOR: f64 = 2.0;
+/// Part of its load that is added for an instance in another data centre.
+const REMOTE_COST: f64 = 0.3;
+
+/// Part of its load that is added for an instance whose data centre has replicas of no shard; all
+/// parts cross a data centre's border there, instead of one answer.
+const NO_REPLICA_COST: f64 = 2.0;
 
 /// Spread of the random part of a choice, which keeps instances apart.
 const JITTER_SHARE: f64 = 0.5;
@@ -100,13 +104,15 @@
         (self.power > 0.0).then(|| (power / self.power).min(1.0))
     }
 
-    /// Returns the instance that a search over `parts` shards is handed to, if any.
+    /// Returns the instance that a search over `parts` shards is handed to, if any; `near` is the
+    /// part of them that has a replica in a data centre.
     pub fn choose(
         &self,
         now: Time,
         parts: usize,
         objective: Duration,
         own: Own<'_>,
+        near: impl Fn(&DataCentre) -> f64,
         rng: &mut impl Rng,
     ) -> Option<&Instance> {
         let needed = PART_COST.as_secs_f64() * parts as f64 / own.power.max(1e-3);
@@ -121,8 +127,9 @@
             }
             let mut load = f64::from(peer.in_hand + 1) / power;
             if peer.instance.data_centre.as_str() != own.data_centre {
-                load *= REMOTE_FACTOR;
+                load *= 1.0 + REMOTE_COST;
             }
+            load *= 1.0 + NO_REPLICA_COST * (1.0 - near(&peer.instance.data_centre));
             load *= 1.0 + JITTER_SHARE * rng.random::<f64>();
             if best.is_none_or(|(_, least)| load < least) {
                 best = Some((peer, load));
--- a/crates/tier/src/tier/handed.rs
+++ b/crates/tier/src/tier/handed.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use base::{CallId, InstanceName, Time};
+use base::{CallId, DataCentre, InstanceName, Time};
 
 use super::{Tier, calls::is_gather};
 use crate::{
@@ -27,6 +27,9 @@
 /// Instances that a search is handed to, one after the other.
 const MAX_HANDOVERS: u32 = 3;
 
+/// Shards that are looked at for where replicas are.
+const SAMPLED: usize = 8;
+
 /// Versions of the configuration that are kept for searches of other instances; a series of changes
 /// writes about a dozen within the time in which each of them has to be in force.
 const KEPT_CONFIGS: usize = 16;
@@ -49,9 +52,21 @@
             data_centre: &self.settings.data_centre,
         };
         let objective = call.config.route(call.route).objective;
+        let directory = &self.directory;
+        let has_replica = |part: &&Part<C::Reply>, centre: &DataCentre| {
+            let mut replicas = directory.of(&part.service);
+            replicas.any(|(_, upstream)| upstream.entry.data_centre == *centre)
+        };
+        // A few shards stand for all; replicas are placed alike.
+        let sample = |centre: &DataCentre| {
+            let parts = || call.parts.iter().step_by(call.parts.len() / SAMPLED + 1);
+            let near = parts().filter(|part| has_replica(part, centre)).count();
+            near as f64 / parts().count().max(1) as f64
+        };
+        let parts = call.parts.len();
         let chosen = self
             .instances
-            .choose(now, call.parts.len(), objective, own, &mut self.rng);
+            .choose(now, parts, objective, own, sample, &mut self.rng);
         let Some(chosen) = chosen.cloned() else {
             return Some(call);
         };
--- a/crates/tier/src/tier/news.rs
+++ b/crates/tier/src/tier/news.rs
@@ -49,9 +49,23 @@
         effects: &mut Vec<Effect<C>>,
     ) {
         let absent = self.directory.absent(&entries);
+        let mut seen = 0;
         for entry in entries {
-            self.on_changed(now, entry, effects);
+            // Hundreds of lines at each start would tell no more than their number.
+            match self.directory.upsert(now, entry) {
+                Change::None => {}
+                Change::New(_) => seen += 1,
+                Change::Draining(key) => {
+                    if let Some(upstream) = self.directory.get_mut(key) {
+                        let entry = &upstream.entry;
+                        let (name, service) = (entry.name.clone(), entry.service.clone());
+                        effects.push(Effect::Note(Note::UpstreamDraining(name, service)));
+                    }
+                }
+            }
         }
+        let known = self.directory.len();
+        effects.push(Effect::Note(Note::UpstreamsListed { seen, known }));
         for name in absent {
             self.on_removed(now, &name, effects);
         }
--- a/crates/tier/tests/handover.rs
+++ b/crates/tier/tests/handover.rs
@@ -267,3 +267,36 @@
         "{effects:?}"
     );
 }
+
+/// An instance in a data centre with replicas fetches fewer parts from elsewhere, which is worth
+/// the one answer that crosses the border instead.
+#[test]
+fn a_search_goes_where_the_replicas_are() {
+    let mut one = small();
+    let mut far = instance("large-far", 0.5);
+    far.data_centre = "far".parse().unwrap();
+    one.on(Event::Instances(vec![
+        instance("small", 0.084),
+        instance("large-1", 0.5),
+        far,
+    ]));
+    let moved: Vec<Entry> = entries()
+        .into_iter()
+        .map(|entry| Entry {
+            data_centre: "far".parse().unwrap(),
+            seq: 2,
+            ..entry
+        })
+        .collect();
+    for id in 0..10 {
+        let to = handed_to(&one.call(100 + id, Origin::Caller)).unwrap();
+        assert_eq!(to.as_str(), "large-1");
+        one.on(Event::CallerGone(CallId(100 + id)));
+    }
+    one.on(Event::Listed(moved));
+    for id in 0..10 {
+        let to = handed_to(&one.call(200 + id, Origin::Caller)).unwrap();
+        assert_eq!(to.as_str(), "large-far");
+        one.on(Event::CallerGone(CallId(200 + id)));
+    }
+}
