edge: a search that was handed over has second attempts only while its sender waits

Change: the sender confirms that it still waits, and only then parts have second attempts; what was read together with the end of the connection is not begun; a search that was repeated once is not repeated again. Tests: a_search_that_is_not_confirmed_has_no_second_attempts, a_search_that_two_instances_did_not_take_is_not_run_again.

--- a/crates/briarcove/src/edge/peers/channel.rs
+++ b/crates/briarcove/src/edge/peers/channel.rs
@@ -52,7 +52,7 @@
     /// Sends and receives until the connection ends.
     ///
     /// `encode` makes the frame of an item at the moment at which it is written, and `receive`
-    /// takes the frames that came in one go.
+    /// takes the frames that came in one go, and whether the other side has closed after them.
     ///
     /// # Errors
     ///
@@ -61,7 +61,7 @@
         &self,
         socket: PollFd<Socket>,
         mut encode: impl FnMut(T) -> Option<Frame>,
-        mut receive: impl FnMut(Vec<Said>),
+        mut receive: impl FnMut(Vec<Said>, bool),
     ) -> io::Result<()> {
         let mut sides = Sides {
             socket,
@@ -77,7 +77,7 @@
                 let frames = sides.decode()?;
                 let any = !frames.is_empty();
                 if any {
-                    receive(frames);
+                    receive(frames, is_closed);
                 }
                 if is_closed {
                     return Poll::Ready(Ok(()));
@@ -130,12 +130,14 @@
             }
             match self.socket.poll_read(cx, &mut buf) {
                 Poll::Ready(Ok(0)) => return Ok(true),
-                Poll::Ready(Ok(read)) => {
-                    self.input.extend_from_slice(&buf[..read]);
-                    self.is_drained = read < READ_BYTES;
-                }
+                // A short read may be followed by the end, which says that nobody waits any more for
+                // what was asked; so the socket is read until it is empty.
+                Poll::Ready(Ok(read)) => self.input.extend_from_slice(&buf[..read]),
                 Poll::Ready(Err(e)) => return Err(e),
-                Poll::Pending => return Ok(false),
+                Poll::Pending => {
+                    self.is_drained = true;
+                    return Ok(false);
+                }
             }
         }
     }
--- a/crates/briarcove/src/edge/peers/incoming.rs
+++ b/crates/briarcove/src/edge/peers/incoming.rs
@@ -2,6 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, io, rc::Rc, time::Duration};
 
+use base::CallId;
 use compio::{
     net::{TcpListener, TcpStream},
     runtime::{JoinHandle, fd::PollFd, spawn},
@@ -13,17 +14,17 @@
 use platform::{CallerRequest, answer};
 use slog::{debug, warn};
 use socket2::Socket;
-use tier::{Answer, Origin};
+use tier::{Answer, Event, Origin};
 use wire::handover::{Done, Hand, Said};
 
 use super::{channel::Channel, from_frame, to_frame};
-use crate::edge::shell::Shell;
+use crate::edge::shell::{InHand, Shell};
 
 /// Wait after a failed accept, such as when no file descriptor is free.
 const ACCEPT_RETRY: Duration = Duration::from_millis(20);
 
 /// Searches that run for other instances on one connection, by their number there.
-type Running = Rc<RefCell<HashMap<u64, JoinHandle<()>>>>;
+type Running = Rc<RefCell<HashMap<u64, (CallId, JoinHandle<()>)>>>;
 
 /// Accepts connections of other instances.
 pub(in crate::edge) async fn accept(shell: Rc<Shell>, listener: TcpListener) {
@@ -54,7 +55,7 @@
     let channel: Rc<Channel<Said>> = Rc::default();
     // Dropping a task tells the reducer that nobody waits for its search any more.
     let running = Running::default();
-    let receive = |frames: Vec<Said>| {
+    let receive = |frames: Vec<Said>, is_closed: bool| {
         let withdrawn: Vec<u64> = frames
             .iter()
             .filter_map(|said| match said {
@@ -64,11 +65,17 @@
             .collect();
         for said in frames {
             match said {
-                // A search that was withdrawn while this instance stood still is not begun.
-                Said::Hand(hand) if !withdrawn.contains(&hand.call) => {
+                // A search that was given up while this instance stood still is not begun.
+                Said::Hand(hand) if !is_closed && !withdrawn.contains(&hand.call) => {
                     take(shell, &channel, &running, hand);
                 }
                 Said::Withdrawn(call) => drop(running.borrow_mut().remove(&call)),
+                Said::Confirmed(call) => {
+                    let id = running.borrow().get(&call).map(|(id, _)| *id);
+                    if let Some(id) = id {
+                        shell.dispatch(Event::Confirmed(id));
+                    }
+                }
                 Said::Ping(_) => channel.push(Said::Pong(true)),
                 Said::Follow(follow) => shell.feed.follow(&channel, follow),
                 Said::Unfollow(_) => shell.feed.unfollow(&channel),
@@ -88,29 +95,34 @@
 fn take(shell: &Rc<Shell>, channel: &Rc<Channel<Said>>, running: &Running, hand: Hand) {
     let call = hand.call;
     channel.push(Said::Taken(call));
-    let (shell, channel, ended) = (Rc::clone(shell), Rc::clone(channel), Rc::clone(running));
+    let Some((head, request)) = read(hand) else {
+        warn!(shell.log, "a search of another instance can't be read");
+        channel.push(Said::Done(declined(call)));
+        return;
+    };
+    let in_hand = shell.start_call(head, request);
+    let id = in_hand.id();
+    let (channel, ended) = (Rc::clone(channel), Rc::clone(running));
     let task = spawn(async move {
-        let done = run(&shell, hand).await;
+        let done = run(call, in_hand).await;
         channel.push(Said::Done(done));
-        if let Some(task) = ended.borrow_mut().remove(&call) {
+        if let Some((_, task)) = ended.borrow_mut().remove(&call) {
             task.detach();
         }
     });
-    running.borrow_mut().insert(call, task);
+    running.borrow_mut().insert(call, (id, task));
 }
 
-async fn run(shell: &Rc<Shell>, hand: Hand) -> Done {
-    let call = hand.call;
-    let declined = Done {
+fn declined(call: u64) -> Done {
+    Done {
         call,
         ..Done::default()
-    };
-    let Some((head, request)) = read(hand) else {
-        warn!(shell.log, "a search of another instance can't be read");
-        return declined;
-    };
-    let answer = match shell.start_call(head, request).answer().await {
-        Some(Answer::Declined) | None => return declined,
+    }
+}
+
+async fn run(call: u64, in_hand: InHand) -> Done {
+    let answer = match in_hand.answer().await {
+        Some(Answer::Declined) | None => return declined(call),
         Some(answer) => answer::make(answer),
     };
     let (head, body) = answer.into_parts();
--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -170,7 +170,13 @@
 
     fn receive(&self, shell: &Rc<Shell>, name: &InstanceName, said: Said) {
         match said {
-            Said::Taken(_) | Said::Pong(_) => shell.dispatch(Event::Heard(name.clone())),
+            Said::Taken(call) => {
+                if self.waiting.borrow().contains_key(&CallId(call)) {
+                    self.channel.push(Item::Said(Said::Confirmed(call)));
+                }
+                shell.dispatch(Event::Heard(name.clone()));
+            }
+            Said::Pong(_) => shell.dispatch(Event::Heard(name.clone())),
             Said::Done(done) => {
                 let call = CallId(done.call);
                 if self.waiting.borrow_mut().remove(&call).is_some() {
@@ -182,6 +188,7 @@
             Said::News(_) | Said::Beat(_) | Said::Blind(_) => self.tell(said),
             Said::Hand(_)
             | Said::Withdrawn(_)
+            | Said::Confirmed(_)
             | Said::Ping(_)
             | Said::Follow(_)
             | Said::Unfollow(_) => {
@@ -212,7 +219,7 @@
     let ended = async {
         let socket = connect(peer.address).await?;
         let encode = |item| peer.encode(&shell, item);
-        let receive = |frames: Vec<Said>| {
+        let receive = |frames: Vec<Said>, _| {
             for said in frames {
                 peer.receive(&shell, &name, said);
             }
--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -254,6 +254,11 @@
 }
 
 impl InHand {
+    /// Returns the identity of the call.
+    pub(super) fn id(&self) -> CallId {
+        self.id
+    }
+
     /// Waits for the answer; `None` when there will be none.
     pub(super) async fn answer(mut self) -> Option<Answer<UpstreamReply>> {
         (&mut self.rx).await.ok()
--- a/crates/tier/src/call.rs
+++ b/crates/tier/src/call.rs
@@ -38,6 +38,9 @@
     pub(crate) handed_at: Time,
     /// Whether upstreams may have seen it before it came here.
     pub(crate) is_repeat: bool,
+    /// Whether whoever sent it is known to wait for it still; one that has given up may have it run
+    /// elsewhere, with an attempt of each part.
+    pub(crate) is_confirmed: bool,
     /// Time since which the instance that has it must have been heard from.
     pub(crate) heard_by: Time,
     /// Whether an upstream may have begun to run it.
--- a/crates/tier/src/event.rs
+++ b/crates/tier/src/event.rs
@@ -56,6 +56,8 @@
     Instances(Vec<Instance>),
     /// A search that was handed to another instance has ended there, or could not be run there.
     HandedOver(CallId, Handed<C::Reply>),
+    /// The instance that handed this search over still waits for it.
+    Confirmed(CallId),
     /// Another instance was heard from.
     Heard(InstanceName),
     /// Another instance found a request that breaks upstreams.
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -113,6 +113,11 @@
             Event::Removed(name) => self.on_removed(now, &name, effects),
             Event::Instances(all) => self.instances.set(all, &self.settings.instance),
             Event::HandedOver(id, end) => self.on_handed(now, id, end, effects),
+            Event::Confirmed(id) => {
+                if let Some(call) = self.calls.get_mut(&id) {
+                    call.is_confirmed = true;
+                }
+            }
             Event::Heard(name) => self.instances.heard(now, &name),
             Event::Quarantine(digest) => self.crashes.quarantine(now, digest),
             Event::PlatformLost => self.on_platform_lost(effects),
--- a/crates/tier/src/tier/attempts.rs
+++ b/crates/tier/src/tier/attempts.rs
@@ -216,6 +216,7 @@
             || !part.is_open()
             || !part.live.is_empty() && !route.idempotent
             || part.tried.len() + usize::from(call.is_repeat) >= route.max_attempts
+            || !part.tried.is_empty() && !call.is_confirmed
             || part.unsent >= MAX_UNSENT
             || now >= call.deadline
         {
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -91,6 +91,7 @@
             heard_by: now,
             may_have_run: is_repeat,
             is_repeat,
+            is_confirmed: head.origin == Origin::Caller,
             handed_at: now,
             extra: 0,
             skipped: 0,
--- a/crates/tier/src/tier/handed.rs
+++ b/crates/tier/src/tier/handed.rs
@@ -126,7 +126,7 @@
             }
             Handed::Broken => {
                 let is_begun = self.calls.get(&id).is_some_and(|call| {
-                    self.instances.is_heard_since(&to, call.handed_at) || call.may_have_run
+                    self.instances.is_heard_since(&to, call.handed_at) || call.is_repeat
                 });
                 self.rest_instance(now, to, effects);
                 if is_begun {
--- a/crates/tier/tests/handover.rs
+++ b/crates/tier/tests/handover.rs
@@ -210,12 +210,25 @@
     for (is_repeat, again) in [(false, 1), (true, 0)] {
         let mut one = One::new("large-1", 0.5);
         let first = sent(&one.call(1, of_instance(1, is_repeat)));
+        one.on(Event::Confirmed(CallId(1)));
         let broken = Outcome::Failed(Failure::Broken);
         let effects = one.on(Event::Ended(first[0], broken));
         assert_eq!(sent(&effects).len(), again);
     }
 }
 
+/// Whoever handed it over may have had it run elsewhere meanwhile, until it says that it waits.
+#[test]
+fn a_search_that_is_not_confirmed_has_no_second_attempts() {
+    let mut one = One::new("large-1", 0.5);
+    let first = sent(&one.call(1, of_instance(1, false)));
+    let effects = one.after(Duration::from_millis(60));
+    assert!(sent(&effects).is_empty());
+    let broken = Outcome::Failed(Failure::Broken);
+    let effects = one.on(Event::Ended(first[0], broken));
+    assert!(sent(&effects).is_empty());
+}
+
 /// An instance that said that it runs the search may have used up the attempts of its parts.
 #[test]
 fn a_search_that_was_taken_and_broke_off_is_not_run_again() {
@@ -243,6 +256,24 @@
     assert_ne!(handed_to(&one.call(2, Origin::Caller)).unwrap(), to);
 }
 
+/// Two instances that did not say in time that they run it may both have begun, with an attempt of
+/// each part; the route allows no third one.
+#[test]
+fn a_search_that_two_instances_did_not_take_is_not_run_again() {
+    let mut one = small();
+    handed_to(&one.call(1, Origin::Caller)).unwrap();
+    one.after(Duration::from_millis(100));
+    let effects = one.on(Event::HandedOver(CallId(1), Handed::Broken));
+    handed_to(&effects).unwrap();
+    one.after(Duration::from_millis(100));
+    let effects = one.on(Event::HandedOver(CallId(1), Handed::Broken));
+    assert!(
+        handed_to(&effects).is_none() && sent(&effects).is_empty(),
+        "{effects:?}"
+    );
+    assert!(matches!(answers(&effects)[..], [Answer::Failed(_)]));
+}
+
 #[test]
 fn a_caller_that_has_gone_ends_the_search_elsewhere() {
     let mut one = small();
--- a/crates/tier/tests/world.rs
+++ b/crates/tier/tests/world.rs
@@ -372,6 +372,7 @@
         };
         self.tell(from, Event::Heard(order.to));
         self.tell(to, Event::Call(id, head, ()));
+        self.tell(to, Event::Confirmed(id));
     }
 
     fn answer(&mut self, instance: usize, id: CallId, answer: Answer<SimReply>) {
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// What is said.
-    #[prost(oneof = "Said", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Said", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub said: Option<Said>,
 }
 
@@ -47,6 +47,9 @@
     /// The sender has no news of its own.
     #[prost(bool, tag = "11")]
     Blind(bool),
+    /// The sender has heard in time that the search with this number is run.
+    #[prost(uint64, tag = "12")]
+    Confirmed(u64),
 }
 
 /// A request for news.
