rig, edge: a soak of random faults against real processes; signals in series end no process

briarcove-rig soak: three instances, store and upstreams with loopback proxies, callers that keep their connections; series of overlapping faults from a seed (ways delayed, cut one way, silent, reset; processes frozen, killed, stopped, reloaded; upstreams and store that misbehave; changes, drains, lapses); what callers and upstreams saw is checked; afterwards all has to serve again.

Cause: compio restores a signal's default action whenever nobody waits for it, so a signal between two waits ends the process; a second SIGTERM would do so during the graceful stop (edge and serve). Mended by waits that last as long as the process; test signals_in_series_end_no_instance_early failed before.

--- a/crates/briarcove/src/edge.rs
+++ b/crates/briarcove/src/edge.rs
@@ -17,7 +17,7 @@
 use platform::settings::PATH_VARIABLE;
 use slog::{error, info};
 
-use crate::{args, exit::Exit, logs};
+use crate::{args, exit::Exit, hold, logs};
 use shell::Shell;
 
 /// Runs an instance until it is told to stop.
@@ -53,6 +53,7 @@
 }
 
 async fn serve(shell: Rc<Shell>) -> Exit {
+    let _held = hold::hold(&shell.log, &[libc::SIGHUP, libc::SIGTERM]);
     let (cfg, log) = (shell.cfg.borrow().clone(), shell.log.clone());
     let listeners = async {
         Ok::<_, std::io::Error>((
--- a/crates/briarcove/src/lib.rs
+++ b/crates/briarcove/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod check;
 pub mod edge;
 pub mod exit;
+mod hold;
 pub mod logs;
 mod race;
 pub mod serve;
--- a/crates/briarcove/src/serve/shell.rs
+++ b/crates/briarcove/src/serve/shell.rs
@@ -19,6 +19,7 @@
 use snafu::ResultExt;
 
 use super::{Error, PlatformSnafu, report};
+use crate::hold::hold;
 
 /// Events that are handled before their effects are carried out.
 const MAX_BATCH: usize = 256;
@@ -129,6 +130,7 @@
         spawn(Rc::clone(&self.front).serve(callers)).detach();
         let links = self.links.clone();
         spawn(async move { links.listen(peers).await }).detach();
+        let _held = hold(&self.log, &[libc::SIGTERM]);
         self.await_signal();
         let _ = self.events.unbounded_send(Event::Tick);
         let mut effects = Vec::new();
--- a/crates/briarcove/tests/edge.rs
+++ b/crates/briarcove/tests/edge.rs
@@ -178,6 +178,31 @@
     assert_eq!(site.wait().unwrap(), Some(0));
 }
 
+#[test]
+fn signals_in_series_end_no_instance_early() {
+    let (mut site, upstreams) = started("signals");
+    for _ in 0..200 {
+        site.signal(Signal::SIGHUP).unwrap();
+        thread::sleep(Duration::from_micros(300));
+    }
+    assert_eq!(
+        site.ask("GET", "/status/1", "o1", 1500).unwrap().status(),
+        200
+    );
+    upstreams[6].set_behaviour(Behaviour::Replies(Duration::from_millis(900)));
+    upstreams[7].set_behaviour(Behaviour::Replies(Duration::from_millis(900)));
+    thread::scope(|scope| {
+        let asked = scope.spawn(|| site.ask("POST", "/order/1", "o2", 1900).unwrap());
+        thread::sleep(Duration::from_millis(200));
+        for _ in 0..5 {
+            site.signal(Signal::SIGTERM).unwrap();
+            thread::sleep(Duration::from_millis(50));
+        }
+        assert_eq!(asked.join().unwrap().status(), 200);
+    });
+    assert_eq!(site.wait().unwrap(), Some(0));
+}
+
 #[test]
 fn a_configuration_that_a_watch_was_not_told_of_comes_into_force() {
     let (site, _upstreams) = started("hidden");
--- a/crates/briarcove/tests/main.rs
+++ b/crates/briarcove/tests/main.rs
@@ -11,4 +11,5 @@
 mod processes;
 mod proxy;
 mod race;
+mod soak;
 mod status;
--- /dev/null
+++ b/crates/briarcove/tests/soak.rs
@@ -0,0 +1,45 @@
+//! Random faults against real processes: `briarcove-rig soak` in short.
+
+use std::{path::PathBuf, thread, time::Duration};
+
+use rig::soak::{Options, run};
+
+/// Seeds that once broke a promise, with what was wrong.
+const KEPT: [(u64, &str); 2] = [
+    (
+        34,
+        "a signal to reload ended the process while nobody waited for one",
+    ),
+    (
+        5,
+        "a new connection was accepted as its process ended; allowed, the check was narrowed",
+    ),
+];
+
+/// A seed that is run beside them.
+const USUAL: u64 = 3;
+
+#[test]
+fn promises_hold_under_faults() {
+    let options = Options {
+        program: PathBuf::from(env!("CARGO_BIN_EXE_briarcove")),
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
+        length: Duration::from_secs(10),
+    };
+    let seeds = KEPT.iter().map(|(seed, _)| *seed).chain([USUAL]);
+    thread::scope(|scope| {
+        let runs: Vec<_> = seeds
+            .map(|seed| {
+                scope.spawn({
+                    let options = &options;
+                    move || run(options, seed).unwrap()
+                })
+            })
+            .collect();
+        for run in runs {
+            let report = run.join().unwrap();
+            assert!(report.broken.is_empty(), "{report}");
+            assert!(report.served * 2 > report.asked, "{report}");
+        }
+    });
+}
--- a/crates/rig/src/cli.rs
+++ b/crates/rig/src/cli.rs
@@ -1,12 +1,24 @@
 //! Subcommands of `briarcove-rig`.
 
-use std::{fs, future::pending, io, net::SocketAddr, path::PathBuf, time::Duration};
+use std::{
+    fs,
+    future::pending,
+    io,
+    net::SocketAddr,
+    path::PathBuf,
+    sync::{
+        Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
 
 use base::EntryName;
 use bytes::Bytes;
 use compio::runtime::Runtime;
 use gumdrop::Options;
-use rig::{bench, demo, fleet, load, platform, report, server, upstream};
+use rig::{bench, demo, fleet, load, platform, report, server, soak, upstream};
 use snafu::{OptionExt, ResultExt, Snafu};
 
 /// Longest time that a server or a load runs, in seconds.
@@ -40,6 +52,8 @@
     Load(LoadArgs),
     #[options(help = "run the demonstration")]
     Demo(DemoArgs),
+    #[options(help = "run real instances under random faults and check what they promise")]
+    Soak(SoakArgs),
     #[options(help = "measure the targets on separate processes")]
     Report(ReportArgs),
     #[options(help = "sweep a size and fit a line through what it costs")]
@@ -111,6 +125,24 @@
     help: bool,
 }
 
+#[derive(Debug, Options)]
+struct SoakArgs {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(no_short, required, help = "program of the instances")]
+    program: PathBuf,
+    #[options(no_short, help = "folder for logs", default = "target/soak")]
+    folder: PathBuf,
+    #[options(no_short, help = "first seed", default = "1")]
+    seed: u64,
+    #[options(no_short, help = "number of seeds", default = "1")]
+    count: u64,
+    #[options(no_short, help = "runs at the same time", default = "1")]
+    jobs: usize,
+    #[options(no_short, help = "time in which faults begin", default = "10")]
+    seconds: f64,
+}
+
 #[derive(Debug, Options)]
 struct ReportArgs {
     #[options(help = "print this help")]
@@ -168,6 +200,10 @@
     Load { source: load::Error },
     #[snafu(transparent)]
     Report { source: report::Error },
+    #[snafu(display("the run of seed {seed} failed: {source}"))]
+    Soak { seed: u64, source: io::Error },
+    #[snafu(display("promises were broken by the seeds {seeds:?}"))]
+    Broken { seeds: Vec<u64> },
     #[snafu(transparent)]
     Bench { source: bench::Error },
 }
@@ -180,6 +216,7 @@
             Some(Command::Upstreams(args)) => run_upstreams(args),
             Some(Command::Load(args)) => run_load(args),
             Some(Command::Demo(_)) => run_demo(),
+            Some(Command::Soak(args)) => run_soak(&args),
             Some(Command::Report(args)) => run_report(&args),
             Some(Command::Bench(args)) => Ok(bench::run(&args.name, args.size)?),
             None => Ok(()),
@@ -187,6 +224,47 @@
     }
 }
 
+/// Runs several seeds, some at the same time, and fails when any breaks a promise.
+fn run_soak(args: &SoakArgs) -> Result<(), Error> {
+    let options = soak::Options {
+        program: args.program.clone(),
+        folder: args.folder.clone(),
+        length: Duration::from_secs_f64(args.seconds.clamp(1.0, MAX_SECONDS)),
+    };
+    let last = args.seed + args.count;
+    let next = AtomicU64::new(args.seed);
+    let ended = Mutex::new(Vec::new());
+    thread::scope(|scope| {
+        for _ in 0..args.jobs.max(1) {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= last {
+                        return;
+                    }
+                    let report = soak::run(&options, seed).context(SoakSnafu { seed });
+                    match &report {
+                        Ok(report) => println!("{report}"),
+                        Err(e) => println!("{e}"),
+                    }
+                    ended
+                        .lock()
+                        .unwrap_or_else(PoisonError::into_inner)
+                        .push((seed, report));
+                }
+            });
+        }
+    });
+    let mut seeds = Vec::new();
+    for (seed, report) in ended.into_inner().unwrap_or_else(PoisonError::into_inner) {
+        if !report?.broken.is_empty() {
+            seeds.push(seed);
+        }
+    }
+    snafu::ensure!(seeds.is_empty(), BrokenSnafu { seeds });
+    Ok(())
+}
+
 fn run_platform(args: &PlatformArgs) -> Result<(), Error> {
     let server = platform::spawn(platform::Config {
         port: args.port,
--- a/crates/rig/src/edge/site.rs
+++ b/crates/rig/src/edge/site.rs
@@ -42,6 +42,8 @@
     child: Option<Child>,
     callers: SocketAddr,
     readiness: SocketAddr,
+    /// Where the instance reaches the store.
+    store_at: SocketAddr,
     /// Address of the metrics; other instances use the port after it.
     metrics: SocketAddr,
 }
@@ -76,9 +78,11 @@
         power: f64,
     ) -> io::Result<Self> {
         fs::create_dir_all(folder)?;
+        let store_at = server.addresses()[0];
         Ok(Self {
             store,
             server,
+            store_at,
             instance: instance.to_owned(),
             power,
             folder: folder.to_owned(),
@@ -108,15 +112,26 @@
         self.store.put("config", "main", spec);
     }
 
-    /// Starts the instance and waits until it is ready.
+    /// Returns the address of the store.
+    pub fn store_address(&self) -> SocketAddr {
+        self.server.addresses()[0]
+    }
+
+    /// Has the instance reach the store at another address, from its next start on.
+    pub fn reach_store_at(&mut self, address: SocketAddr) {
+        self.store_at = address;
+    }
+
+    /// Starts the instance; its log goes on where it ended.
     ///
     /// # Errors
     ///
-    /// Fails when it does not start or does not get ready.
-    pub fn start(&mut self, program: &Path) -> io::Result<()> {
+    /// Fails when it does not start.
+    pub fn spawn(&mut self, program: &Path) -> io::Result<()> {
         let settings = self.folder.join("boot.json");
         fs::write(&settings, self.settings().to_string())?;
-        let log = fs::File::create(self.folder.join("log"))?;
+        let log = self.folder.join("log");
+        let log = fs::File::options().create(true).append(true).open(log)?;
         let child = Command::new(program)
             .args(["edge", "--settings"])
             .arg(&settings)
@@ -124,6 +139,29 @@
             .stdout(log)
             .spawn()?;
         self.child = Some(child);
+        Ok(())
+    }
+
+    /// Returns whether the instance was started and not waited for yet.
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// Returns whether the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        let child = self.child.as_mut();
+        // A process that can't be asked for is not there.
+        child.is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Starts the instance with a new log and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Fails when it does not start or does not get ready.
+    pub fn start(&mut self, program: &Path) -> io::Result<()> {
+        fs::write(self.folder.join("log"), "")?;
+        self.spawn(program)?;
         let end = Instant::now() + READY_WITHIN;
         while Instant::now() < end {
             if self.is_ready() {
@@ -143,7 +181,7 @@
             "limits": {"maxFds": 2870, "cpuShare": self.power},
             "bounds": {"graceS": 6, "configApplyMs": 3000, "drainMs": 3000,
                 "retryBudgetRatio": 0.2, "retryWindowS": 10, "retrySlack": 100},
-            "platform": {"addr": self.server.addresses()[0].to_string()},
+            "platform": {"addr": self.store_at.to_string()},
         })
     }
 
--- a/crates/rig/src/edge/store.rs
+++ b/crates/rig/src/edge/store.rs
@@ -223,6 +223,9 @@
         if head.method == Method::POST {
             return self.create(kind, body).await;
         }
+        if let Some((kind, name)) = kind.split_once('/') {
+            return self.change(&head, kind, name, body).await;
+        }
         let field = |name: &str| {
             let items = query.split('&').filter_map(|item| item.split_once('='));
             let mut found = items.filter(|(key, _)| *key == name);
@@ -248,6 +251,44 @@
 }
 
 impl Front {
+    /// Replaces or removes an object that has the revision which the call names.
+    async fn change(
+        &self,
+        head: &http::request::Parts,
+        kind: &str,
+        name: &str,
+        body: Incoming,
+    ) -> Result<Reply, Abort> {
+        let body = reply::read_body(body, 1 << 20).await?.unwrap_or_default();
+        let key = (kind.to_owned(), name.to_owned());
+        let present = self.store.state().objects.get(&key).cloned();
+        let Some(present) = present else {
+            return Ok(reply::empty(StatusCode::NOT_FOUND));
+        };
+        let shown = shown(name, Some(&present.spec), present.revision);
+        let (object, expected) = if head.method == Method::PUT {
+            let Ok(object) = serde_json::from_slice::<Value>(&body) else {
+                return Ok(reply::empty(StatusCode::BAD_REQUEST));
+            };
+            let expected = object["meta"]["revision"].as_u64();
+            (Some(object), expected)
+        } else {
+            let query = head.uri.query().unwrap_or_default();
+            let expected = query
+                .split('&')
+                .find_map(|item| item.strip_prefix("revision="));
+            (None, expected.and_then(|text| text.parse().ok()))
+        };
+        if expected.is_some_and(|expected| expected != present.revision) {
+            return Ok(reply::json(StatusCode::CONFLICT, &shown));
+        }
+        match object {
+            Some(object) => self.store.put(kind, name, object["spec"].clone()),
+            None => self.store.remove(kind, name),
+        }
+        Ok(reply::json(StatusCode::OK, &shown))
+    }
+
     async fn create(&self, kind: &str, body: Incoming) -> Result<Reply, Abort> {
         let body = reply::read_body(body, 1 << 20).await?.unwrap_or_default();
         let Ok(object) = serde_json::from_slice::<Value>(&body) else {
--- a/crates/rig/src/edge/upstream.rs
+++ b/crates/rig/src/edge/upstream.rs
@@ -52,6 +52,28 @@
     pub left_ms: u64,
     /// Path.
     pub path: String,
+    /// Service of the upstream.
+    pub service: String,
+    /// Whether it was run.
+    pub ran: bool,
+    /// Number in the signature of the reply.
+    number: u64,
+}
+
+impl Arrival {
+    /// Returns the signature of the reply.
+    pub fn signature(&self) -> String {
+        signature(self.number)
+    }
+
+    /// Returns the record in the body of the reply.
+    pub fn record(&self) -> [u8; 16] {
+        u128::from(self.number).to_be_bytes()
+    }
+}
+
+fn signature(number: u64) -> String {
+    format!("sig.{number}")
 }
 
 #[derive(Debug)]
@@ -85,12 +107,14 @@
             arrivals,
         }));
         let (shared, instance) = (Arc::clone(&state), name.to_owned());
+        let of = service.to_owned();
         let server = Server::spawn(move || async move {
             let listener = TcpListener::bind("127.0.0.1:0").await?;
             let address = listener.local_addr()?;
             let handler = Rc::new(Front {
                 state: shared,
                 instance,
+                service: of,
                 connections: Connections::new(MAX_CONNECTIONS),
             });
             compio::runtime::spawn(serve(listener, handler)).detach();
@@ -109,9 +133,14 @@
         &self.name
     }
 
+    /// Returns where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.server.addresses()[0]
+    }
+
     /// Returns its entry in the store.
     pub fn entry(&self, state: &str) -> Value {
-        let address = self.server.addresses()[0].to_string();
+        let address = self.address().to_string();
         json!({"service": self.service, "addr": address, "zone": "here", "version": "v1",
             "slots": 2, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1_700_000_000_000_u64})
     }
@@ -134,6 +163,7 @@
 struct Front {
     state: Arc<Mutex<State>>,
     instance: String,
+    service: String,
     connections: Connections,
 }
 
@@ -151,19 +181,24 @@
         }
         let id = text("x-request-id").unwrap_or_default().to_owned();
         let left_ms = reply::number(&head.headers, "x-timeout-remaining").unwrap_or(0);
+        let number = SIGNATURES.fetch_add(1, Ordering::Relaxed);
         let behaviour = {
             let mut state = lock(&self.state);
+            let ran = state.behaviour != Behaviour::Sheds;
             state.arrivals.push(Arrival {
                 id: id.clone(),
                 left_ms,
                 path: head.uri.path().to_owned(),
+                service: self.service.clone(),
+                ran,
+                number,
             });
             state.behaviour
         };
         match behaviour {
             Behaviour::Replies(time) => {
                 sleep(time).await;
-                Ok(signed(StatusCode::OK, &id))
+                Ok(signed(StatusCode::OK, &id, number))
             }
             Behaviour::Sheds => {
                 let mut reply = reply::empty(StatusCode::SERVICE_UNAVAILABLE);
@@ -173,20 +208,19 @@
                 Ok(reply)
             }
             Behaviour::Breaks => Err(Abort),
-            Behaviour::Fails => Ok(signed(StatusCode::INTERNAL_SERVER_ERROR, &id)),
-            Behaviour::Crosses => Ok(signed(StatusCode::OK, "another")),
+            Behaviour::Fails => Ok(signed(StatusCode::INTERNAL_SERVER_ERROR, &id, number)),
+            Behaviour::Crosses => Ok(signed(StatusCode::OK, "another", number)),
         }
     }
 }
 
-fn signed(status: StatusCode, id: &str) -> Reply {
-    let number = SIGNATURES.fetch_add(1, Ordering::Relaxed);
+fn signed(status: StatusCode, id: &str, number: u64) -> Reply {
     let record = u128::from(number).to_be_bytes();
     let mut reply = reply::with_body(status, Bytes::copy_from_slice(&record));
     if let Ok(id) = HeaderValue::from_str(id) {
         reply.headers_mut().insert("x-request-id", id);
     }
-    if let Ok(signature) = HeaderValue::from_str(&format!("sig.{number}")) {
+    if let Ok(signature) = HeaderValue::from_str(&signature(number)) {
         reply.headers_mut().insert("x-server-stamp", signature);
     }
     reply
--- a/crates/rig/src/lib.rs
+++ b/crates/rig/src/lib.rs
@@ -14,5 +14,6 @@
 pub mod report;
 pub mod server;
 pub mod sim;
+pub mod soak;
 mod stream;
 pub mod upstream;
