--- a/crates/briarcove/src/edge.rs
+++ b/crates/briarcove/src/edge.rs
@@ -22,6 +22,9 @@
 
 /// Runs an instance until it is told to stop.
 pub fn run(args: &args::Edge) -> Exit {
+    let logs = logs::start_stdout();
+    // From here on a signal ends the process only as it is meant to.
+    let _held = hold::hold(&logs.logger(), &[libc::SIGHUP, libc::SIGTERM]);
     let path = args
         .settings
         .clone()
@@ -44,7 +47,6 @@
             return Exit::Unreachable;
         }
     };
-    let logs = logs::start_stdout();
     let shell = Shell::new(cfg, path, logs.logger());
     let exit = drive::block_on(&runtime, &shell, serve(Rc::clone(&shell)));
     drop(shell);
@@ -53,7 +55,6 @@
 }
 
 async fn serve(shell: Rc<Shell>) -> Exit {
-    let _held = hold::hold(&shell.log, &[libc::SIGHUP, libc::SIGTERM]);
     let (cfg, log) = (shell.cfg.borrow().clone(), shell.log.clone());
     let listeners = async {
         Ok::<_, std::io::Error>((
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -17,7 +17,7 @@
     path::{Path, PathBuf},
     sync::{Arc, PoisonError},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use callers::{Callers, Kind};
@@ -34,6 +34,9 @@
 /// Time within which everything serves again after the last fault; the platform allows 12 s.
 const RECOVERY: Duration = Duration::from_secs(12);
 
+/// Time after the last fault in which instances that it ended are started again.
+const SETTLED: Duration = Duration::from_millis(300);
+
 /// Requests of each kind that are served again at each instance.
 const PROOFS: usize = 5;
 
@@ -103,7 +106,10 @@
         }
     }
     world.play(&plan)?;
+    // What was told last has effect before the proofs.
+    world.wait_until(Instant::now() + SETTLED)?;
     let mut broken = recovery(&world, &callers, &folder);
+    broken.append(&mut world.ended);
     callers.stop();
     for task in tasks {
         if task.join().is_err() {
