briarcove: check and status know instances on the users' platform

check tells the platform's settings file by its keys (or --as platform) and reports all findings with their places; status shows configuration, upstreams, instances and what is in hand from the operators' address of an edge instance. Tests with the real program.

--- a/crates/briarcove/src/args.rs
+++ b/crates/briarcove/src/args.rs
@@ -171,11 +171,13 @@
     Settings,
     /// A catalogue.
     Catalogue,
+    /// Settings that the users' platform writes for a process.
+    Platform,
 }
 
 /// A text that names no kind of document.
 #[derive(Clone, Debug, PartialEq, Eq, Snafu)]
-#[snafu(display("expected settings or catalogue"))]
+#[snafu(display("expected settings, catalogue or platform"))]
 pub struct DocumentError;
 
 impl FromStr for Document {
@@ -185,6 +187,7 @@
         match text {
             "settings" => Ok(Self::Settings),
             "catalogue" => Ok(Self::Catalogue),
+            "platform" => Ok(Self::Platform),
             _ => Err(DocumentError),
         }
     }
--- a/crates/briarcove/src/check.rs
+++ b/crates/briarcove/src/check.rs
@@ -14,6 +14,9 @@
 /// Top-level keys by which a catalogue is recognized.
 const CATALOGUE_KEYS: [&str; 2] = ["services", "entries"];
 
+/// Top-level keys by which the settings file of the users' platform is recognized.
+const PLATFORM_KEYS: [&str; 2] = ["node", "internalPorts"];
+
 /// Why a file yields no document.
 #[derive(Debug, Snafu)]
 pub enum Error {
@@ -25,6 +28,14 @@
         /// Cause given by the system.
         source: io::Error,
     },
+    /// The settings that the platform wrote have findings.
+    #[snafu(display("{file}: {source}"))]
+    Platform {
+        /// Name of the file.
+        file: Box<str>,
+        /// Everything that was found, with its places in the file.
+        source: platform::settings::Findings,
+    },
     /// The document has findings of severity *error*.
     #[snafu(display("{findings}"))]
     Found {
@@ -41,6 +52,12 @@
                 eprintln!("briarcove: {self}");
                 Exit::Usage
             }
+            Self::Platform { file, source } => {
+                for finding in source.iter() {
+                    println!("{file}:{finding}");
+                }
+                Exit::Findings
+            }
             Self::Found { findings } => {
                 print_findings(findings);
                 Exit::Findings
@@ -81,19 +98,28 @@
     match kind.unwrap_or_else(|| recognize(&text)) {
         Document::Settings => parse_settings(file, &text).map(|(_, warnings)| warnings),
         Document::Catalogue => parse_catalogue(file, &text).map(|(_, warnings)| warnings),
+        Document::Platform => {
+            let parsed = platform::Settings::parse(&text);
+            parsed.map(|_| Findings::default()).context(PlatformSnafu {
+                file: file.display().to_string(),
+            })
+        }
     }
 }
 
 /// Tells the kind of a document by its top-level keys; its reader reports what can't be parsed.
 fn recognize(text: &str) -> Document {
     let parsed = parse_to_value(text, &ParseOptions::default());
-    let is_catalogue = match parsed {
-        Ok(Some(JsonValue::Object(root))) => CATALOGUE_KEYS.iter().any(|k| root.get(k).is_some()),
-        _ => false,
+    let Ok(Some(JsonValue::Object(root))) = parsed else {
+        return Document::Settings;
     };
-    match is_catalogue {
-        true => Document::Catalogue,
-        false => Document::Settings,
+    let has_any = |keys: &[&str]| keys.iter().any(|key| root.get(key).is_some());
+    if has_any(&CATALOGUE_KEYS) {
+        Document::Catalogue
+    } else if has_any(&PLATFORM_KEYS) {
+        Document::Platform
+    } else {
+        Document::Settings
     }
 }
 
--- a/crates/briarcove/src/edge/ops.rs
+++ b/crates/briarcove/src/edge/ops.rs
@@ -23,6 +23,9 @@
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path of the state that `briarcove status` shows.
+const STATUS_PATH: &str = "/v1/status";
+
 /// Accepts connections to the readiness check or to the metrics.
 pub(super) async fn accept(shell: Rc<Shell>, listener: TcpListener) {
     loop {
@@ -57,6 +60,7 @@
             shell.publish();
             (StatusCode::OK, shell.metrics.text().into())
         }
+        STATUS_PATH => (StatusCode::OK, shell.status().to_string().into()),
         _ => (StatusCode::NOT_FOUND, Bytes::new()),
     };
     let mut reply = Response::new(Full::new(body));
--- a/crates/briarcove/src/edge/peers/feed.rs
+++ b/crates/briarcove/src/edge/peers/feed.rs
@@ -65,6 +65,11 @@
         self.tell_all(&Said::Blind(true));
     }
 
+    /// Returns whether this instance follows another.
+    pub(in crate::edge) fn is_following(&self) -> bool {
+        self.is_following.get()
+    }
+
     /// Notes whether this instance follows another; one that does has no news of its own.
     pub(in crate::edge) fn set_following(&self, following: bool) {
         self.is_following.set(following);
--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -117,6 +117,20 @@
             .unwrap_or_default()
     }
 
+    /// Returns the state that operators compare between instances.
+    pub(super) fn status(&self) -> serde_json::Value {
+        let (cfg, tier) = (self.cfg.borrow(), self.tier.borrow());
+        serde_json::json!({
+            "instance": &*cfg.instance, "data_centre": &*cfg.data_centre,
+            "version": env!("CARGO_PKG_VERSION"), "ready": tier.is_ready(),
+            "config": tier.config().map(|config| config.version),
+            "following": self.feed.is_following(),
+            "upstreams": tier.upstreams(), "instances": tier.instances(),
+            "requests_in_hand": tier.in_hand(), "attempts_in_flight": tier.in_flight(),
+            "connections": self.connections.open(),
+        })
+    }
+
     /// Publishes sizes of state in the metrics.
     pub(super) fn publish(&self) {
         let tier = self.tier.borrow();
--- a/crates/briarcove/tests/edge.rs
+++ b/crates/briarcove/tests/edge.rs
@@ -117,6 +117,52 @@
     assert!(answer.body().is_empty());
 }
 
+#[test]
+fn status_shows_an_instance_on_the_platform() {
+    let (site, _upstreams) = started("status");
+    let address = site.operators().to_string();
+    let output = std::process::Command::new(PROGRAM)
+        .args(["status", "--instance", &address])
+        .output()
+        .unwrap();
+    let shown = String::from_utf8(output.stdout).unwrap();
+    assert!(output.status.success(), "{shown}");
+    for (name, value) in [
+        ("instance", "edge-here-1"),
+        ("config", "1"),
+        ("upstreams", "8"),
+    ] {
+        let mut lines = shown.lines();
+        let is_shown = lines.any(|line| line.starts_with(name) && line.ends_with(value));
+        assert!(is_shown, "{shown}");
+    }
+}
+
+#[test]
+fn check_reads_the_settings_of_the_platform() {
+    let folder = folder("check");
+    std::fs::create_dir_all(&folder).unwrap();
+    let file = folder.join("boot.json");
+    let wrong = r#"{"node": "edge-a-1", "internalPorts": [7380, 7395], "zone": 5,
+        "listen": {"front": "nowhere", "ready": "10.1.0.9:8108"}, "limits": {"maxFds": 2870}}"#;
+    std::fs::write(&file, wrong).unwrap();
+    let output = std::process::Command::new(PROGRAM)
+        .arg("check")
+        .arg(&file)
+        .output()
+        .unwrap();
+    let shown = String::from_utf8(output.stdout).unwrap();
+    assert_eq!(output.status.code(), Some(1), "{shown}");
+    for place in [
+        "/zone",
+        "/listen/front",
+        "/limits/cpuShare",
+        "/platform/addr",
+    ] {
+        assert!(shown.contains(place), "{shown}");
+    }
+}
+
 #[test]
 fn a_slow_replica_is_hedged_and_then_passed_over() {
     let (site, upstreams) = started("hedged");
--- a/crates/rig/src/edge/site.rs
+++ b/crates/rig/src/edge/site.rs
@@ -193,6 +193,11 @@
             .is_ok_and(|reply| reply.status().is_success())
     }
 
+    /// Returns the address of the operators' endpoints.
+    pub fn operators(&self) -> SocketAddr {
+        self.metrics
+    }
+
     /// Returns the metrics as text.
     ///
     /// # Errors
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -173,6 +173,11 @@
         self.attempts.len()
     }
 
+    /// Returns the number of instances, if it is known.
+    pub fn instances(&self) -> Option<usize> {
+        self.instances.count()
+    }
+
     /// Returns the number of upstreams that are known.
     pub fn upstreams(&self) -> usize {
         self.directory.len()
