--- a/crates/briarcove/src/edge/sync.rs
+++ b/crates/briarcove/src/edge/sync.rs
@@ -206,6 +206,11 @@
         }
     }
 
+    /// Returns whether instances may be gone, which is looked at without waiting.
+    fn has_suspects(&self) -> bool {
+        !self.is_following.get() && !self.unreached.borrow().is_empty()
+    }
+
     /// Waits for the time of the next small read.
     async fn next_look(&self) {
         let wait = pin!(sleep(self.shell.spread(self.probe_interval())));
@@ -271,7 +276,7 @@
         share_quarantine(&sync, &mut store).await;
         if !is_registered {
             is_registered = records::register(&sync, &mut store).await;
-        } else if probes % PROBES_PER_COUNT == PROBES_PER_COUNT - 1 {
+        } else if probes % PROBES_PER_COUNT == PROBES_PER_COUNT - 1 || sync.has_suspects() {
             is_registered = records::look(&sync, &mut store).await;
         }
         if !sync.roles_known.get() && sync.shell.now().since(base::Time::ZERO) >= RECORDS_AFTER {
--- a/crates/briarcove/src/edge/sync/records.rs
+++ b/crates/briarcove/src/edge/sync/records.rs
@@ -22,8 +22,9 @@
 /// Longest wait for a connection to an instance.
 const TRY_TIMEOUT: Duration = Duration::from_millis(600);
 
-/// Tries without a connection, one a look, after which an instance is taken for gone.
-const TRIES_BEFORE_GONE: u32 = 3;
+/// Tries without a connection, one a look, after which an instance is taken for gone: longer than
+/// a partition or a frozen instance usually lasts.
+const TRIES_BEFORE_GONE: u32 = 8;
 
 /// Reads which instances there are; returns their records.
 pub(super) async fn read(sync: &Sync, store: &mut Store) -> Option<Vec<Object>> {
--- a/crates/briarcove/src/logs.rs
+++ b/crates/briarcove/src/logs.rs
@@ -1,9 +1,12 @@
 //! Logs: human-readable on a terminal, JSON lines otherwise, unless the settings say which.
 
-use std::io::{self, IsTerminal};
+use std::{
+    env,
+    io::{self, IsTerminal},
+};
 
 use cat::settings::{Format, Level, Log};
-use slog::{Drain, Logger, o};
+use slog::{Drain, Logger, o, warn};
 
 /// Records that wait for the writer; when it falls behind, further ones are dropped and counted.
 const QUEUE_RECORDS: usize = 4096;
@@ -40,12 +43,22 @@
     }
 }
 
+/// Variable of the environment with the least level that is written: `error`, `warning`, `info`
+/// or `debug`.
+const LEVEL_VARIABLE: &str = "BRIARCOVE_LOG";
+
 /// Starts logs as JSON lines to the standard output stream.
 pub fn start_stdout() -> Logs {
-    queued(
+    let wanted = env::var(LEVEL_VARIABLE).ok();
+    let level = wanted.as_deref().map(str::parse);
+    let logs = queued(
         slog_json::Json::default(io::stdout()).fuse(),
-        slog::Level::Info,
-    )
+        level.and_then(Result::ok).unwrap_or(slog::Level::Info),
+    );
+    if let Some(Err(())) = level {
+        warn!(logs.logger, "the level of the log is not known; using info"; "level" => wanted);
+    }
+    logs
 }
 
 fn queued<D>(drain: D, level: slog::Level) -> Logs
--- a/crates/briarcove/tests/edge.rs
+++ b/crates/briarcove/tests/edge.rs
@@ -400,3 +400,22 @@
     assert!(follower.log().unwrap().contains("watching the store"));
     site.signal(Signal::SIGCONT).unwrap();
 }
+
+/// The shares of instances follow from their records, so those of instances that are gone go.
+#[test]
+fn the_record_of_an_instance_that_is_gone_is_removed() {
+    let (site, _upstreams) = started("gone");
+    let record = |address: &str| serde_json::json!({"dataCentre": "here", "power": 0.5, "removals": 0, "address": address});
+    site.store
+        .put("briarcove-instances", "gone-1", record("127.0.0.1:99"));
+    let other = folder("stays");
+    let mut stays = site.beside(&other, "edge-here-2", 0.5).unwrap();
+    stays.start(PROGRAM.as_ref()).unwrap();
+    let names = || site.store.names("briarcove-instances");
+    let end = Instant::now() + Duration::from_secs(40);
+    while names().contains(&"gone-1".to_owned()) {
+        assert!(Instant::now() < end, "the record stays");
+        thread::sleep(Duration::from_millis(100));
+    }
+    assert_eq!(names(), ["edge-here-1", "edge-here-2"]);
+}
--- a/crates/rig/src/edge/store.rs
+++ b/crates/rig/src/edge/store.rs
@@ -121,6 +121,13 @@
         }
     }
 
+    /// Returns the names of the objects of a kind.
+    pub fn names(&self, kind: &str) -> Vec<String> {
+        let state = self.state();
+        let of_kind = state.objects.keys().filter(|(of, _)| of == kind);
+        of_kind.map(|(_, name)| name.clone()).collect()
+    }
+
     /// Drops the history of changes.
     pub fn compact(&self) {
         let mut state = self.state();
--- a/crates/tier/src/follow.rs
+++ b/crates/tier/src/follow.rs
@@ -12,7 +12,7 @@
 use crate::handover::Instance;
 
 /// Instances up to which each watches by itself.
-pub const FEW_INSTANCES: usize = 40;
+pub const FEW_INSTANCES: usize = 24;
 
 /// Instances of a data centre that watch; one may be lost at any time.
 const WATCHERS: usize = 2;
