--- a/crates/briarcove/tests/main.rs
+++ b/crates/briarcove/tests/main.rs
@@ -8,6 +8,7 @@
 mod check;
 mod command;
 mod edge;
+mod peers;
 mod processes;
 mod proxy;
 mod race;
--- a/crates/tier/tests/world.rs
+++ b/crates/tier/tests/world.rs
@@ -1,6 +1,7 @@
 //! Instances, upstreams with slots and queues, and callers on one simulated clock.
 
 mod build;
+mod handed;
 
 use std::{
     cmp::Reverse,
@@ -9,7 +10,7 @@
     time::Duration,
 };
 
-use base::{CallId, InstanceName, Time};
+use base::{CallId, Time};
 use bytes::Bytes;
 use rand::{Rng, rngs::SmallRng};
 use tier::{
@@ -152,11 +153,6 @@
     orders: HashMap<(usize, CallId), HandOver<()>>,
 }
 
-/// Returns the position of an instance.
-fn number(name: &InstanceName) -> usize {
-    name.as_str().rsplit('-').next().unwrap().parse().unwrap()
-}
-
 /// Where a search that was handed over came from.
 type Origins = (usize, CallId);
 
@@ -285,35 +281,10 @@
                 let sent = self.work(instance, upstream);
                 self.plan(sent + WAY, Step::Arrive(instance, send.attempt, upstream));
             }
-            Effect::HandOver(order) => {
-                let to = usize::from(order.address.port());
-                let step = Step::Handed(to, instance, order.call);
-                self.sent.insert((instance, order.call), to);
-                self.orders.insert((instance, order.call), order);
-                self.plan(self.now + WAY, step);
-            }
-            Effect::Withdraw(call, _) => {
-                self.sent.remove(&(instance, call));
-                self.orders.remove(&(instance, call));
-                self.ends.remove(&(instance, call));
-            }
-            Effect::Disconnect(name) => {
-                let other = number(&name);
-                let had = |to: &usize| *to == other;
-                let calls: Vec<CallId> = (self.sent.iter())
-                    .filter(|((from, _), to)| *from == instance && had(to))
-                    .map(|((_, call), _)| *call)
-                    .collect();
-                for call in calls {
-                    self.sent.remove(&(instance, call));
-                    self.tell(instance, Event::HandedOver(call, Handed::Broken));
-                }
-            }
-            Effect::Ping(name) => {
-                if !self.frozen[number(&name)] {
-                    self.tell(instance, Event::Heard(name));
-                }
-            }
+            Effect::HandOver(_)
+            | Effect::Withdraw(..)
+            | Effect::Disconnect(_)
+            | Effect::Ping(_) => self.between(instance, effect),
             Effect::Cancel(attempt) => {
                 for upstream in 0..self.upstreams.len() {
                     let it = &mut self.upstreams[upstream];
@@ -342,39 +313,6 @@
         start + cost
     }
 
-    /// Has an instance stand still for good.
-    pub(crate) fn freeze(&mut self, instance: usize) {
-        self.frozen[instance] = true;
-    }
-
-    fn take_handed(&mut self, to: usize, from: usize, call: CallId) {
-        let Some(order) = self.orders.remove(&(from, call)) else {
-            return;
-        };
-        if self.frozen[to] {
-            return;
-        }
-        let id = self.next_call;
-        self.next_call = id.next();
-        self.handed.insert((to, id), (from, call));
-        let head = Head {
-            id: call.to_string().into(),
-            host: "search.example".into(),
-            path: "/x".into(),
-            left: Some(order.deadline.since(self.now)),
-            age: Duration::ZERO,
-            digest: 1,
-            origin: Origin::Instance {
-                version: order.version,
-                is_return: order.is_return,
-                is_repeat: order.is_repeat,
-            },
-        };
-        self.tell(from, Event::Heard(order.to));
-        self.tell(to, Event::Call(id, head, ()));
-        self.tell(to, Event::Confirmed(id));
-    }
-
     fn answer(&mut self, instance: usize, id: CallId, answer: Answer<SimReply>) {
         let end = match answer {
             Answer::Gathered(gathered) => {
