tier: replicas that lose answers are passed over, and room is kept for parts that get lost

Searches had left out 2 to 6 of 135 shards on purpose, all that they might, so the first parts that were lost twice ended them; and replicas that lose answers were chosen like the others, as few failures came in a row.

Change: a rate of lost answers an upstream is part of its cost; searches leave out fewer shards by what they have lost of late.

--- a/crates/tier/src/admit.rs
+++ b/crates/tier/src/admit.rs
@@ -55,6 +55,8 @@
     pub least: usize,
     /// Time within which parts are of use.
     pub available: Duration,
+    /// Parts that are likely to be lost after they were sent.
+    pub reserve: usize,
     /// Whether the caller was refused before.
     pub is_return: bool,
 }
@@ -84,6 +86,7 @@
     let Some(room) = (shards.len() - least).checked_sub(forced) else {
         return Admission::Overloaded;
     };
+    let room = room.saturating_sub(demand.reserve);
     let beyond = (short - room as f64).max(0.0) / short.max(1.0);
     if !demand.is_return && rng.random::<f64>() < beyond {
         return Admission::Overloaded;
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -7,7 +7,7 @@
 //! upstream, [`admit`] turns work away, [`hedge`] sends a second attempt, [`ending`] ends a search,
 //! [`comeback`] tells callers when to return, [`budget`] bounds extra attempts, [`crash`] stops
 //! requests that break upstreams, [`valve`] keeps shards from drowning, [`reach`] notices that
-//! nothing is reached, [`handover`] chooses the instance that runs a search,
+//! nothing is reached, [`losses`] notices what gets lost, [`handover`] chooses the instance that runs a search,
 //! [`follow`] the few instances that watch the platform.
 
 pub mod admit;
@@ -24,6 +24,7 @@
 pub mod handover;
 pub mod hedge;
 pub mod latency;
+pub mod losses;
 pub mod merge;
 pub mod place;
 pub mod reach;
--- a/crates/tier/src/place.rs
+++ b/crates/tier/src/place.rs
@@ -26,6 +26,10 @@
 /// Cost of a new connection: it holds a slot, and takes processor time on both sides.
 const CONNECT_COST: Duration = Duration::from_millis(8);
 
+/// Cost of an answer that is lost for certain, as a multiple of the usual time: it takes a second
+/// attempt, of which a part has one.
+const LOSS_COST: f64 = 8.0;
+
 /// Spread of the random part of a choice, which keeps instances apart.
 const JITTER_SHARE: f64 = 0.15;
 
@@ -70,6 +74,7 @@
         if upstream.entry.data_centre.as_str() != data_centre {
             cost += usual.mul_f64(REMOTE_SHARE);
         }
+        cost += usual.mul_f64(LOSS_COST * upstream.losses.get(now));
         if upstream.replied_at.is_none_or(|at| now.since(at) >= KEPT) {
             cost += CONNECT_COST;
         }
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -27,6 +27,7 @@
     event::{AttemptKey, Carried, Event},
     handover::Instances,
     latency::Shape,
+    losses,
     reach::Reach,
     settings::Settings,
     split::Split,
@@ -41,6 +42,7 @@
     shape: Shape,
     split: Split,
     comeback: Comeback,
+    lost: losses::Parts,
 }
 
 /// A request to an upstream that has not ended.
--- a/crates/tier/src/tier/answers.rs
+++ b/crates/tier/src/tier/answers.rs
@@ -99,7 +99,15 @@
     /// Ends what a call has in flight; parts that are missing were late.
     fn abandon_all(&mut self, now: Time, call: &Call<C>) {
         let route = Rc::from(&*call.config.route(call.route).name);
-        if is_gather(&call.config, call.route) && now >= call.soft_end {
+        let is_gather = is_gather(&call.config, call.route);
+        if is_gather && call.handed_to.is_none() {
+            let is_lost = |part: &&Part<C::Reply>| {
+                matches!(part.state, State::Lost) && !part.tried.is_empty()
+            };
+            let lost = call.parts.iter().filter(is_lost).count();
+            self.route_state(&route).lost.add(lost);
+        }
+        if is_gather && now >= call.soft_end {
             let was_sent = |part: &&Part<C::Reply>| part.is_open() && !part.tried.is_empty();
             for part in call.parts.iter().filter(was_sent) {
                 self.valves.entry(part.service.clone()).or_default().late();
--- a/crates/tier/src/tier/learning.rs
+++ b/crates/tier/src/tier/learning.rs
@@ -44,6 +44,13 @@
             return;
         };
         upstream.ended(key);
+        match outcome {
+            Outcome::Reply(reply) => upstream.losses.add(now, !reply.is_success()),
+            Outcome::Failed(Failure::Broken | Failure::Malformed) => {
+                upstream.losses.add(now, true);
+            }
+            Outcome::Failed(_) => {}
+        }
         match outcome {
             Outcome::Reply(reply) => {
                 upstream.pace.add(now, took, usual);
--- a/crates/tier/src/upstream.rs
+++ b/crates/tier/src/upstream.rs
@@ -4,7 +4,7 @@
 
 use base::{DataCentre, ServiceName, Time, UpstreamName};
 
-use crate::{event::AttemptKey, latency::Pace};
+use crate::{event::AttemptKey, latency::Pace, losses::Rate};
 
 slotmap::new_key_type! {
     /// Names an upstream incarnation within one instance.
@@ -50,6 +50,8 @@
     pub entry: Entry,
     /// Requests in flight from this instance, oldest first, with the time of sending.
     pub in_flight: Vec<(AttemptKey, Time)>,
+    /// How often it loses answers.
+    pub losses: Rate,
     /// How fast it is compared with the other upstreams of its requests.
     pub pace: Pace,
     /// Time until which it is slow after its start.
@@ -71,6 +73,7 @@
             cold_until: now + entry.cold_left,
             entry,
             in_flight: Vec::new(),
+            losses: Rate::default(),
             pace: Pace::default(),
             rests_until: Time::ZERO,
             full_until: Time::ZERO,
--- a/crates/tier/tests/load.rs
+++ b/crates/tier/tests/load.rs
@@ -235,3 +235,41 @@
         assert!(share(tally.in_time, tally) > 0.85, "seed {seed}: {tally:?}");
     }
 }
+
+/// Replicas of four shards turn slow, so that searches leave shards out, and every eighth reply is
+/// lost with its connection: a search that has left out all that it may would fail with the first
+/// part that is lost twice.
+#[test]
+fn searches_keep_room_for_parts_that_are_lost() {
+    for seed in 1..=5 {
+        let mut world = warmed_up(Plan { seed, ..PLAN }, HIGH_RATE);
+        for shard in 0..4 {
+            world.upstreams[shard * 2].work = PLAN.work * 10;
+        }
+        for upstream in &mut world.upstreams {
+            upstream.breaks = 0.125;
+        }
+        world.run(HIGH_RATE, Duration::from_secs(3));
+        let tally = world.run(HIGH_RATE, Duration::from_secs(6));
+        assert!(share(tally.failed, tally) < 0.05, "seed {seed}: {tally:?}");
+    }
+}
+
+/// One replica of each shard loses two of five answers with their connections: searches go to the
+/// other one.
+#[test]
+fn replicas_that_lose_answers_are_passed_over() {
+    for seed in 1..=5 {
+        let mut world = warmed_up(Plan { seed, ..PLAN }, USUAL_RATE / 2.0);
+        for upstream in world.upstreams.iter_mut().step_by(2) {
+            upstream.breaks = 0.4;
+        }
+        world.run(USUAL_RATE / 2.0, Duration::from_secs(1));
+        let tally = world.run(USUAL_RATE / 2.0, Duration::from_secs(5));
+        eprintln!("{tally:?}");
+        assert!(
+            tally.credit / f64::from(tally.asked) > 0.97,
+            "seed {seed}: {tally:?}"
+        );
+    }
+}
--- a/crates/tier/tests/world.rs
+++ b/crates/tier/tests/world.rs
@@ -74,6 +74,8 @@
     pub(crate) queue: usize,
     /// Time until which it stands still.
     pub(crate) paused_until: Time,
+    /// Part of its replies that are lost with their connection.
+    pub(crate) breaks: f64,
     /// Whether it refuses connections.
     pub(crate) is_down: bool,
     /// Whether requests to it are lost on the way.
@@ -396,6 +398,11 @@
             return;
         }
         self.start_waiting(upstream);
+        let breaks = self.upstreams[upstream].breaks;
+        if breaks > 0.0 && self.rng.random::<f64>() < breaks {
+            let outcome = Outcome::Failed(Failure::Broken);
+            return self.tell(instance, Event::Ended(attempt, outcome));
+        }
         let reply = SimReply {
             signature: format!("{upstream}-{}", self.next_step),
             body: Bytes::from_static(&[7; 16]),
--- a/crates/tier/tests/world/build.rs
+++ b/crates/tier/tests/world/build.rs
@@ -147,6 +147,7 @@
                     slots: 2,
                     queue: 12,
                     paused_until: Time::ZERO,
+                    breaks: 0.0,
                     is_down: false,
                     is_cut: false,
                     waiting: VecDeque::new(),
