--- a/crates/tier/tests/world.rs
+++ b/crates/tier/tests/world.rs
@@ -2,6 +2,7 @@
 
 mod build;
 mod handed;
+mod reply;
 
 use std::{
     cmp::Reverse,
@@ -14,54 +15,13 @@
 use bytes::Bytes;
 use rand::{Rng, rngs::SmallRng};
 use tier::{
-    Answer, AttemptKey, Carried, Config, Effect, Event, Failure, Handed, Head, Origin, Outcome,
-    Tier, config::Limits, effect::HandOver, event::Reply,
+    Answer, AttemptKey, Config, Effect, Event, Failure, Handed, Head, Origin, Outcome, Tier,
+    config::Limits, effect::HandOver,
 };
 
 pub(crate) use build::Plan;
-
-/// What the simulated instances carry.
-#[derive(Debug)]
-pub(crate) struct Sim;
-
-/// A reply with a signature of its own.
-#[derive(Clone, Debug)]
-pub(crate) struct SimReply {
-    signature: String,
-    body: Bytes,
-    /// What another instance came to, if it is an answer of one.
-    end: Option<End>,
-}
-
-/// What a search came to.
-#[derive(Clone, Copy, Debug)]
-enum End {
-    /// An answer with this share of the parts.
-    Covered(f64),
-    /// A refusal.
-    Refused,
-    /// A failure.
-    Failed,
-}
-
-impl Carried for Sim {
-    type Request = ();
-    type Reply = SimReply;
-}
-
-impl Reply for SimReply {
-    fn is_success(&self) -> bool {
-        true
-    }
-
-    fn signature(&self) -> Option<&str> {
-        Some(&self.signature)
-    }
-
-    fn body(&self) -> &Bytes {
-        &self.body
-    }
-}
+use reply::End;
+pub(crate) use reply::{Sim, SimReply};
 
 /// One upstream.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/tier/tests/world/reply.rs
@@ -0,0 +1,47 @@
+//! Replies of simulated upstreams and instances.
+
+use bytes::Bytes;
+use tier::{Carried, event::Reply};
+
+/// What the simulated instances carry.
+#[derive(Debug)]
+pub(crate) struct Sim;
+
+/// A reply with a signature of its own.
+#[derive(Clone, Debug)]
+pub(crate) struct SimReply {
+    pub(super) signature: String,
+    pub(super) body: Bytes,
+    /// What another instance came to, if it is an answer of one.
+    pub(super) end: Option<End>,
+}
+
+/// What a search came to.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum End {
+    /// An answer with this share of the parts.
+    Covered(f64),
+    /// A refusal.
+    Refused,
+    /// A failure.
+    Failed,
+}
+
+impl Carried for Sim {
+    type Request = ();
+    type Reply = SimReply;
+}
+
+impl Reply for SimReply {
+    fn is_success(&self) -> bool {
+        true
+    }
+
+    fn signature(&self) -> Option<&str> {
+        Some(&self.signature)
+    }
+
+    fn body(&self) -> &Bytes {
+        &self.body
+    }
+}
