--- a/crates/rig/src/edge/site.rs
+++ b/crates/rig/src/edge/site.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs, io,
-    net::{Ipv4Addr, SocketAddr, TcpListener},
+    net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -46,6 +46,8 @@
     store_at: SocketAddr,
     /// Address of the metrics; other instances use the port after it.
     metrics: SocketAddr,
+    /// Hold the ports until the site is dropped.
+    _claims: [UdpSocket; 3],
 }
 
 impl Site {
@@ -79,6 +81,9 @@
     ) -> io::Result<Self> {
         fs::create_dir_all(folder)?;
         let store_at = server.addresses()[0];
+        let (callers, claim_callers) = free_address()?;
+        let (readiness, claim_readiness) = free_address()?;
+        let (metrics, claim_metrics) = free_address()?;
         Ok(Self {
             store,
             server,
@@ -87,9 +92,10 @@
             power,
             folder: folder.to_owned(),
             child: None,
-            callers: free_address()?,
-            readiness: free_address()?,
-            metrics: free_address()?,
+            callers,
+            readiness,
+            metrics,
+            _claims: [claim_callers, claim_readiness, claim_metrics],
         })
     }
 
@@ -319,7 +325,7 @@
 
 /// Returns an address that nothing listens on, nor on the port after it, and that no other listener
 /// is given meanwhile.
-fn free_address() -> io::Result<SocketAddr> {
+fn free_address() -> io::Result<(SocketAddr, UdpSocket)> {
     // Processes that run side by side start at different ports.
     let first = std::process::id().wrapping_mul(97);
     for _ in 0..PORTS {
@@ -328,8 +334,13 @@
         let port = u16::try_from(port).map_err(io::Error::other)?;
         let address = SocketAddr::from((Ipv4Addr::LOCALHOST, port));
         let next = SocketAddr::from((Ipv4Addr::LOCALHOST, port + 1));
+        // The datagram socket claims the port against other processes also while an instance that
+        // was killed does not listen.
+        let Ok(claim) = UdpSocket::bind(address) else {
+            continue;
+        };
         if TcpListener::bind(address).is_ok() && TcpListener::bind(next).is_ok() {
-            return Ok(address);
+            return Ok((address, claim));
         }
     }
     Err(io::Error::other("no port is free"))
