tier: searches are refused as far as many shards are short; late parts keep room

Three reasons, each replayed in tests/overload.rs with pauses, callers that come back and 17 instances: - an upstream that turns requests away closed the valve of its shard, although the rest of the shard had room; - searches left out as many shards as coverage allows, and no room was left for parts that came late; - a shard that is left out spares only itself, so with many short shards leaving out costs more than refusing a few searches, which spares all. Callers that came back were always let in, which only put off the load: they are refused at 0.6 of the ratio now.

--- a/crates/tier/src/admit.rs
+++ b/crates/tier/src/admit.rs
@@ -3,8 +3,8 @@
 //! Load pattern: replicas of several shards turn slow or are lost together, and what is left of
 //! them takes fewer requests than come. Sending everything makes every search late. Shards that are
 //! down, hopelessly late or short of room are left out while the coverage allows it; a search for
-//! which too many would have to be left out is refused before anything is sent. Callers that come
-//! back after a refusal go before new ones. A few parts are sent although they are expected to be
+//! which too many would have to be left out is refused before anything is sent, and so are others as
+//! far as many shards are short. Callers that come back after a refusal go before new ones. A few parts are sent although they are expected to be
 //! late, so that it is noticed when a shard has recovered.
 
 use std::time::Duration;
@@ -14,6 +14,15 @@
 /// Share of searches that are sent although parts are expected to be late.
 const TRIAL_SHARE: f64 = 0.06;
 
+/// Ratio at which callers that come back are refused, compared with new ones. Letting all of them in
+/// would only put off the load, and make room by refusing callers who have not waited yet.
+const RETURN_RATIO: f64 = 0.6;
+
+/// Part of the shards of an index up to which leaving out those that are short costs callers less than
+/// refusals: each shard that is left out takes about twice its part of an answer's worth, and a
+/// refusal half of it all.
+const FEW_SHARE: f64 = 0.25;
+
 /// One shard of a search before anything is sent.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Shard {
@@ -71,15 +80,11 @@
     let is_trial = rng.random::<f64>() < TRIAL_SHARE;
     let mut verdicts = vec![Verdict::Send; shards.len()];
     let mut forced = 0;
-    let mut short = 0.0;
     for (at, shard) in shards.iter().enumerate() {
         match shard {
             Shard::Down => forced += 1,
             Shard::Up { expected, .. } if *expected > demand.available && !is_trial => forced += 1,
-            Shard::Up { share, .. } => {
-                short += 1.0 - share;
-                continue;
-            }
+            Shard::Up { .. } => continue,
         }
         verdicts[at] = Verdict::Skip;
     }
@@ -87,14 +92,41 @@
         return Admission::Overloaded;
     };
     let room = room.saturating_sub(demand.reserve);
-    let beyond = (short - room as f64).max(0.0) / short.max(1.0);
-    if !demand.is_return && rng.random::<f64>() < beyond {
+    let ratio = if demand.is_return { RETURN_RATIO } else { 1.0 };
+    if rng.random::<f64>() < ratio * refused_share(shards, &verdicts, room) {
         return Admission::Overloaded;
     }
     skip_short(shards, room, &mut verdicts, rng);
     Admission::Admit(verdicts)
 }
 
+/// Returns the share of searches to refuse.
+///
+/// A refused search spares all shards, and one that leaves out a shard spares only that one but is
+/// answered. So shards are left out when few are short, and searches are refused when many are, and
+/// as far as the coverage does not allow to leave out enough.
+fn refused_share(shards: &[Shard], verdicts: &[Verdict], room: usize) -> f64 {
+    let missing = |(shard, verdict): (&Shard, &Verdict)| match (shard, verdict) {
+        (Shard::Up { share, .. }, Verdict::Send) if *share < 1.0 => Some(1.0 - share),
+        _ => None,
+    };
+    let mut missing: Vec<f64> = shards.iter().zip(verdicts).filter_map(missing).collect();
+    missing.sort_by(|a, b| b.total_cmp(a));
+    let few = (shards.len() as f64 * FEW_SHARE) as usize;
+    let pays = missing.get(few).copied().unwrap_or(0.0);
+    // The sum of what is still to be left out of those that are admitted has to fit the room.
+    let mut needed = 0.0;
+    let mut sum = 0.0;
+    for (at, most) in missing.iter().enumerate() {
+        sum += most;
+        let count = (at + 1) as f64;
+        if count > room as f64 {
+            needed = f64::max(needed, (sum - room as f64) / (count - room as f64));
+        }
+    }
+    f64::max(pays, needed)
+}
+
 /// Leaves out shards that are short of room, each as often as it needs and at most `room`.
 ///
 /// The number that is left out differs by at most one from search to search: the shares that are
--- a/crates/tier/src/call.rs
+++ b/crates/tier/src/call.rs
@@ -61,6 +61,8 @@
     /// Attempts in flight.
     pub(crate) live: Vec<AttemptKey>,
     pub(crate) state: State<R>,
+    /// Whether it came after the time by which answers are due.
+    pub(crate) is_late: bool,
 }
 
 /// How far a part is.
@@ -82,6 +84,7 @@
             unsent: 0,
             live: Vec::new(),
             state: State::Open,
+            is_late: false,
         }
     }
 
--- a/crates/tier/src/losses.rs
+++ b/crates/tier/src/losses.rs
@@ -3,7 +3,7 @@
 //! Load pattern: half of the replicas of all shards run requests and lose a third of the answers,
 //! while their health is good and the others are sound. Too few failures come in a row for a rest.
 //! Placement prefers replicas that lose less, and searches leave out fewer shards on purpose when
-//! parts get lost by themselves, as the first one too many would cost the whole answer.
+//! parts get lost or come late by themselves, as the first one too many would cost the whole answer.
 
 use std::time::Duration;
 
@@ -15,7 +15,7 @@
 /// Time in which a rate that is not confirmed halves, so that the upstream is tried again.
 const HALF_LIFE: Duration = Duration::from_secs(2);
 
-/// Weight of one search in the number of parts that are lost.
+/// Weight of one search in the number of parts that are missed.
 const SEARCH_WEIGHT: f64 = 0.15;
 
 /// Usual spread of that number that is kept room for, in square roots of its mean.
@@ -53,7 +53,7 @@
     }
 }
 
-/// Parts that searches of a route lose after they were sent.
+/// Parts that searches of a route miss in time after they were sent.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Parts {
     mean: f64,
@@ -61,8 +61,8 @@
 
 impl Parts {
     /// Takes the number of one search.
-    pub fn add(&mut self, lost: usize) {
-        self.mean += (lost as f64 - self.mean) * SEARCH_WEIGHT;
+    pub fn add(&mut self, missed: usize) {
+        self.mean += (missed as f64 - self.mean) * SEARCH_WEIGHT;
     }
 
     /// Returns the number of parts that room is kept for.
--- a/crates/tier/src/place.rs
+++ b/crates/tier/src/place.rs
@@ -12,7 +12,7 @@
 use crate::upstream::{UpKey, Upstream};
 
 /// Extra time that another data centre has to make up for, as a share of the usual time.
-const REMOTE_SHARE: f64 = 1.0;
+const REMOTE_SHARE: f64 = 0.5;
 
 /// How much slower a cold upstream is; the usual ratio of a started process.
 const COLD_RATIO: f64 = 1.6;
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -42,7 +42,7 @@
     shape: Shape,
     split: Split,
     comeback: Comeback,
-    lost: losses::Parts,
+    missed: losses::Parts,
 }
 
 /// A request to an upstream that has not ended.
--- a/crates/tier/src/tier/answers.rs
+++ b/crates/tier/src/tier/answers.rs
@@ -101,11 +101,14 @@
         let route = Rc::from(&*call.config.route(call.route).name);
         let is_gather = is_gather(&call.config, call.route);
         if is_gather && call.handed_to.is_none() {
-            let is_lost = |part: &&Part<C::Reply>| {
-                matches!(part.state, State::Lost) && !part.tried.is_empty()
+            let is_over = now >= call.soft_end;
+            let is_missed = |part: &&Part<C::Reply>| match part.state {
+                State::In(_) => part.is_late,
+                State::Lost => !part.tried.is_empty(),
+                State::Open => is_over && !part.tried.is_empty(),
             };
-            let lost = call.parts.iter().filter(is_lost).count();
-            self.route_state(&route).lost.add(lost);
+            let missed = call.parts.iter().filter(is_missed).count();
+            self.route_state(&route).missed.add(missed);
         }
         if is_gather && now >= call.soft_end {
             let was_sent = |part: &&Part<C::Reply>| part.is_open() && !part.tried.is_empty();
--- a/crates/tier/src/tier/attempts.rs
+++ b/crates/tier/src/tier/attempts.rs
@@ -130,6 +130,7 @@
             let losers: Vec<AttemptKey> = part.live.clone();
             if gather {
                 let in_time = now < call.soft_end;
+                part.is_late = !in_time;
                 let valve = self.valves.entry(part.service.clone()).or_default();
                 if in_time {
                     valve.in_time();
@@ -169,9 +170,6 @@
         };
         call.may_have_run |= !failure.is_not_run();
         let part = &mut call.parts[attempt.part];
-        if failure == Failure::NotRun {
-            self.valves.entry(part.service.clone()).or_default().late();
-        }
         if !failure.was_sent() {
             part.unsent += 1;
             part.tried.retain(|tried| *tried != attempt.upstream);
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -162,7 +162,7 @@
         let demand = Demand {
             least: call.least,
             available: self.available(now, &call),
-            reserve: self.route_state(&name).lost.reserve(),
+            reserve: self.route_state(&name).missed.reserve(),
             is_return: call.is_return,
         };
         match admit::admit(&shards, demand, &mut self.rng) {
--- a/crates/tier/src/valve.rs
+++ b/crates/tier/src/valve.rs
@@ -5,8 +5,8 @@
 //! be in time. Each late part closes the shard's valve a little and each one in time opens it, so
 //! that searches leave the shard out as often as it needs, as long as their coverage allows that.
 
-/// Factor for a part that was late or turned away.
-const CLOSING: f64 = 0.8;
+/// Factor for a part that was late.
+const CLOSING: f64 = 0.9;
 
 /// Step for a part that was in time.
 const OPENING: f64 = 0.02;
@@ -42,7 +42,7 @@
         self.share = (self.share + OPENING * faster).min(1.0);
     }
 
-    /// Counts a part that was late or turned away.
+    /// Counts a part that was late.
     pub fn late(&mut self) {
         // A single late part after a long run is a pause rather than overload.
         let is_single = self.run >= LONG_RUN;
--- a/crates/tier/tests/load.rs
+++ b/crates/tier/tests/load.rs
@@ -13,6 +13,8 @@
     work: Duration::from_millis(20),
     objective: Duration::from_millis(200),
     least: 0.85,
+    returns: false,
+    centres: 2,
     seed: 7,
 };
 
@@ -204,6 +206,8 @@
     work: Duration::from_millis(15),
     objective: Duration::from_millis(120),
     least: 0.95,
+    returns: false,
+    centres: 3,
     seed: 11,
 };
 
--- a/crates/tier/tests/main.rs
+++ b/crates/tier/tests/main.rs
@@ -6,4 +6,5 @@
 mod follow;
 mod handover;
 mod load;
+mod overload;
 mod world;
--- a/crates/tier/tests/world.rs
+++ b/crates/tier/tests/world.rs
@@ -36,6 +36,8 @@
     pub(crate) paused_until: Time,
     /// Part of its replies that are lost with their connection.
     pub(crate) breaks: f64,
+    /// Part of the requests that it turns away although it has room.
+    pub(crate) sheds: f64,
     /// Whether it refuses connections.
     pub(crate) is_down: bool,
     /// Whether requests to it are lost on the way.
@@ -53,21 +55,43 @@
     pub(crate) in_time: u32,
     /// Successes after it.
     pub(crate) late: u32,
-    /// Refusals.
+    /// Refusals of callers that asked for the first time.
     pub(crate) refused: u32,
+    /// Refusals of callers that came back.
+    pub(crate) refused_again: u32,
+    /// Successes of callers that came back, within the objective from then on.
+    pub(crate) returned: u32,
     /// Failures.
     pub(crate) failed: u32,
-    /// Sum of the squared coverage of successes in time.
+    /// Sum of the squared coverage of successes in time; half counts for callers that came back.
     pub(crate) credit: f64,
     /// Requests that reached upstreams.
     pub(crate) arrivals: u32,
 }
 
+impl Tally {
+    /// Adds what callers got at another time.
+    pub(crate) fn add(&mut self, other: Self) {
+        self.asked += other.asked;
+        self.in_time += other.in_time;
+        self.late += other.late;
+        self.refused += other.refused;
+        self.refused_again += other.refused_again;
+        self.returned += other.returned;
+        self.failed += other.failed;
+        self.credit += other.credit;
+        self.arrivals += other.arrivals;
+    }
+}
+
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
     Caller(usize),
+    /// A caller that was refused comes back, and when it first asked.
+    Return(usize, Time),
     Arrive(usize, AttemptKey, usize),
     Done(usize, usize, AttemptKey),
+    Pause(usize, Duration),
     Resume(usize),
     /// A search reaches the instance that it was handed to, from another one's call.
     Handed(usize, usize, CallId),
@@ -90,10 +114,11 @@
     tiers: Vec<Tier<Sim>>,
     steps: BinaryHeap<Reverse<(Time, u64, Step)>>,
     next_step: u64,
-    calls: HashMap<(usize, CallId), Time>,
+    calls: HashMap<(usize, CallId), Caller>,
     next_call: CallId,
     names: BTreeMap<String, usize>,
     objective: Duration,
+    returns: bool,
     shards: usize,
     rng: SmallRng,
     tally: Tally,
@@ -115,6 +140,18 @@
     orders: HashMap<(usize, CallId), HandOver<()>>,
 }
 
+/// A caller that waits.
+#[derive(Clone, Copy, Debug)]
+struct Caller {
+    /// When it asked for the first time.
+    first: Time,
+    /// When it asked last.
+    asked: Time,
+}
+
+/// Credit of an answer in time after a refusal: the mean of full credit and that of a late answer.
+const RETURN_CREDIT: f64 = 0.55;
+
 /// Where a search that was handed over came from.
 type Origins = (usize, CallId);
 
@@ -164,6 +201,17 @@
         self.plan(self.now + time, Step::Resume(upstream));
     }
 
+    /// Has each upstream stand still now and then from now on, as often as `every` says.
+    pub(crate) fn plan_pauses(&mut self, time: Duration, every: Duration, length: Duration) {
+        for upstream in 0..self.upstreams.len() {
+            let mut after = every.mul_f64(self.rng.random());
+            while after < time {
+                self.plan(self.now + after, Step::Pause(upstream, length));
+                after += every;
+            }
+        }
+    }
+
     fn next_time(&mut self) -> Option<Time> {
         let step = self.steps.peek().map(|Reverse((at, ..))| *at);
         let wakes = self.tiers.iter_mut().filter_map(Tier::next_wake);
@@ -194,11 +242,16 @@
 
     fn step(&mut self, step: Step) {
         match step {
-            Step::Caller(instance) => self.call(instance),
+            Step::Caller(instance) => {
+                self.tally.asked += 1;
+                self.call(instance, self.now);
+            }
+            Step::Return(instance, first) => self.call(instance, first),
             Step::Arrive(instance, attempt, upstream) => {
                 self.arrive(instance, attempt, upstream);
             }
             Step::Done(upstream, instance, attempt) => self.done(upstream, instance, attempt),
+            Step::Pause(upstream, time) => self.pause(upstream, time),
             Step::Resume(upstream) => self.start_waiting(upstream),
             Step::Handed(to, from, call) => self.take_handed(to, from, call),
             Step::Back(to, call) => {
@@ -210,16 +263,19 @@
         }
     }
 
-    fn call(&mut self, instance: usize) {
+    fn call(&mut self, instance: usize, first: Time) {
         let id = self.next_call;
         self.next_call = id.next();
-        self.tally.asked += 1;
-        self.calls.insert((instance, id), self.now);
+        let caller = Caller {
+            first,
+            asked: self.now,
+        };
+        self.calls.insert((instance, id), caller);
         let head = Head {
             id: id.to_string().into(),
             host: "search.example".into(),
             path: "/x".into(),
-            left: Some(self.objective * 10),
+            left: Some(self.objective * 10 - self.now.since(first)),
             age: Duration::ZERO,
             digest: 1,
             origin: Origin::Caller,
@@ -276,6 +332,10 @@
     }
 
     fn answer(&mut self, instance: usize, id: CallId, answer: Answer<SimReply>) {
+        let after = match &answer {
+            Answer::Refused(_, after) => *after,
+            _ => Duration::ZERO,
+        };
         let end = match answer {
             Answer::Gathered(gathered) => {
                 End::Covered(gathered.signatures.len() as f64 / self.shards as f64)
@@ -298,17 +358,31 @@
             self.ends.insert((from, call), Handed::Answer(reply));
             return self.plan(self.now + WAY, Step::Back(from, call));
         }
-        let asked = self
+        let caller = self
             .calls
             .remove(&(instance, id))
             .expect("each call is answered once");
-        let in_time = self.now.since(asked) <= self.objective;
+        self.count(caller, end);
+        if self.returns && matches!(end, End::Refused) && caller.first == caller.asked {
+            let other = self.rng.random_range(0..self.tiers.len());
+            self.plan(self.now + after, Step::Return(other, caller.first));
+        }
+    }
+
+    fn count(&mut self, caller: Caller, end: End) {
+        let is_return = caller.first < caller.asked;
+        let in_time = self.now.since(caller.asked) <= self.objective;
         match end {
+            End::Covered(share) if in_time && is_return => {
+                self.tally.returned += 1;
+                self.tally.credit += share * share * RETURN_CREDIT;
+            }
             End::Covered(share) if in_time => {
                 self.tally.in_time += 1;
                 self.tally.credit += share * share;
             }
             End::Covered(_) => self.tally.late += 1,
+            End::Refused if is_return => self.tally.refused_again += 1,
             End::Refused => self.tally.refused += 1,
             End::Failed => self.tally.failed += 1,
         }
@@ -324,7 +398,8 @@
             return;
         }
         self.tally.arrivals += 1;
-        if it.waiting.len() >= it.queue {
+        let is_shed = it.sheds > 0.0 && self.rng.random::<f64>() < it.sheds;
+        if is_shed || it.waiting.len() >= it.queue {
             let outcome = Outcome::Failed(Failure::NotRun);
             return self.tell(instance, Event::Ended(attempt, outcome));
         }
--- a/crates/tier/tests/world/build.rs
+++ b/crates/tier/tests/world/build.rs
@@ -36,6 +36,10 @@
     pub(crate) objective: Duration,
     /// Share of the shards that a success needs.
     pub(crate) least: f64,
+    /// Whether callers that are refused come back once, when they are told to.
+    pub(crate) returns: bool,
+    /// Data centres, in which instances and replicas stand in turn.
+    pub(crate) centres: usize,
     /// Seed of everything random.
     pub(crate) seed: u64,
 }
@@ -49,11 +53,15 @@
         }
     }
 
+    fn centre(&self, position: usize) -> String {
+        format!("dc-{}", position % self.centres)
+    }
+
     fn all(&self) -> Vec<Instance> {
         let instance = |i: usize| Instance {
             name: format!("instance-{i}").parse().unwrap(),
             address: ([127, 0, 1, 1], i as u16).into(),
-            data_centre: "dc-0".parse().unwrap(),
+            data_centre: self.centre(i).parse().unwrap(),
             power: self.power(i),
         };
         (0..self.instances).map(instance).collect()
@@ -103,6 +111,7 @@
             next_call: CallId::default(),
             names: BTreeMap::new(),
             objective: plan.objective,
+            returns: plan.returns,
             shards: plan.shards,
             rng: SmallRng::seed_from_u64(plan.seed),
             tally: Tally::default(),
@@ -123,6 +132,7 @@
         for instance in 0..plan.instances {
             let settings = Settings {
                 instance: format!("instance-{instance}").into(),
+                data_centre: plan.centre(instance).into(),
                 power: plan.power(instance),
                 ..Settings::default()
             };
@@ -148,6 +158,7 @@
                     queue: 12,
                     paused_until: Time::ZERO,
                     breaks: 0.0,
+                    sheds: 0.0,
                     is_down: false,
                     is_cut: false,
                     waiting: VecDeque::new(),
@@ -157,7 +168,7 @@
                     name: name.parse().unwrap(),
                     service: format!("shard-{shard}").parse().unwrap(),
                     address: ([127, 0, 0, 1], entries.len() as u16).into(),
-                    data_centre: format!("dc-{replica}").parse().unwrap(),
+                    data_centre: plan.centre(shard + replica).parse().unwrap(),
                     slots: 2,
                     draining: false,
                     cold_left: Duration::ZERO,
