--- a/crates/briarcove/src/edge/lines.rs
+++ b/crates/briarcove/src/edge/lines.rs
@@ -106,6 +106,7 @@
             "allowed_ms" => ended.allowed.as_millis() as u64,
             "answered" => ended.answered, "asked" => ended.asked, "skipped" => ended.skipped,
             "extra" => ended.extra, "late" => ended.late,
+            "beside" => ended.beside.as_ref().map_or("", |name| name.as_str()),
             "via" => ended.via.as_ref().map_or("", |name| name.as_str()), "trail" => trail(ended));
     }
 
--- a/crates/briarcove/src/edge/peers/incoming.rs
+++ b/crates/briarcove/src/edge/peers/incoming.rs
@@ -14,8 +14,8 @@
 use platform::{CallerRequest, answer};
 use slog::{debug, warn};
 use socket2::Socket;
-use tier::{Answer, Event, Origin};
-use wire::handover::{Done, Hand, Said};
+use tier::{Answer, Event, Origin, event::BranchHead};
+use wire::handover::{Done, Hand, Said, Short};
 
 use super::{channel::Channel, from_frame, to_frame};
 use crate::edge::shell::{InHand, Shell};
@@ -94,7 +94,9 @@
 /// Runs a search for another instance.
 fn take(shell: &Rc<Shell>, channel: &Rc<Channel<Said>>, running: &Running, hand: Hand) {
     let call = hand.call;
-    channel.push(Said::Taken(call));
+    if hand.branch.is_none() {
+        channel.push(Said::Taken(call));
+    }
     let Some((head, request)) = read(hand) else {
         warn!(shell.log, "a search of another instance can't be read");
         channel.push(Said::Done(declined(call)));
@@ -121,9 +123,18 @@
 }
 
 async fn run(call: u64, in_hand: InHand) -> Done {
+    let mut short = Vec::new();
     let answer = match in_hand.answer().await {
         Some(Answer::Declined) | None => return declined(call),
-        Some(answer) => answer::make(answer),
+        Some(answer) => {
+            if let Answer::Gathered(gathered) = &answer {
+                short.extend(gathered.short.iter().map(|short| Short {
+                    shard: short.shard,
+                    share: short.share as f32,
+                }));
+            }
+            answer::make(answer)
+        }
     };
     let (head, body) = answer.into_parts();
     let body = match body.collect().await {
@@ -135,6 +146,7 @@
         status: u32::from(head.status.as_u16()),
         headers: to_frame(&head.headers),
         body,
+        short,
     }
 }
 
@@ -149,5 +161,12 @@
     parts.uri = hand.target.parse().ok()?;
     parts.headers = from_frame(hand.headers)?;
     let left = Duration::from_micros(hand.left_us);
-    CallerRequest::read_handed(parts, hand.body, left, origin).ok()
+    let (mut head, request) = CallerRequest::read_handed(parts, hand.body, left, origin).ok()?;
+    head.branch = hand.branch.map(|branch| BranchHead {
+        shards: branch.shards.into(),
+        least: branch.least as usize,
+        due: Duration::from_micros(branch.due_us),
+        is_confirmed: branch.is_confirmed,
+    });
+    Some((head, request))
 }
--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -14,8 +14,8 @@
 use platform::{CallerRequest, UpstreamReply};
 use slog::{debug, warn};
 use socket2::Socket;
-use tier::{Event, Handed, Instance, effect::HandOver};
-use wire::handover::{Done, Follow, Frame, Hand, Said};
+use tier::{Event, Handed, Instance, ShortShard, effect::HandOver};
+use wire::handover::{Branch, Done, Follow, Frame, Hand, Said};
 
 use super::{channel::Channel, from_frame, to_frame};
 use crate::edge::shell::Shell;
@@ -79,6 +79,13 @@
         }
     }
 
+    /// Says that the answer to a search is still wanted.
+    pub(in crate::edge) fn confirm(&self, call: CallId, to: &InstanceName) {
+        if let Some(peer) = self.0.borrow().get(to) {
+            peer.channel.push(Item::Said(Said::Confirmed(call.0)));
+        }
+    }
+
     /// Asks an instance for a sign of life.
     pub(in crate::edge) fn ping(&self, name: &InstanceName) {
         if let Some(peer) = self.0.borrow().get(name) {
@@ -142,9 +149,17 @@
         *self.waiting.borrow_mut().get_mut(&order.call)? = true;
         let (method, target, headers, body) = order.request.content();
         let left = order.deadline.since(shell.now());
+        let hop = shell.hop_delay();
+        let branch = order.branch.as_ref().map(|branch| Branch {
+            shards: branch.shards.to_vec(),
+            least: u32::try_from(branch.least).unwrap_or(u32::MAX),
+            is_confirmed: branch.is_confirmed,
+            due_us: micros(branch.soft_end.since(shell.now()).saturating_sub(hop)),
+        });
         let hand = Hand {
             call: order.call.0,
-            left_us: u64::try_from(left.as_micros()).unwrap_or(u64::MAX),
+            left_us: micros(left),
+            branch,
             version: order.version,
             is_return: order.is_return,
             is_repeat: order.is_repeat,
@@ -171,7 +186,8 @@
     fn receive(&self, shell: &Rc<Shell>, name: &InstanceName, said: Said) {
         match said {
             Said::Taken(call) => {
-                if self.waiting.borrow().contains_key(&CallId(call)) {
+                let is_waiting = self.waiting.borrow().contains_key(&CallId(call));
+                if is_waiting && shell.is_confirmed(CallId(call)) {
                     self.channel.push(Item::Said(Said::Confirmed(call)));
                 }
                 shell.dispatch(Event::Heard(name.clone()));
@@ -180,6 +196,9 @@
             Said::Done(done) => {
                 let call = CallId(done.call);
                 if self.waiting.borrow_mut().remove(&call).is_some() {
+                    if let Some(short) = read_short(&done) {
+                        shell.dispatch(Event::Short(call, short));
+                    }
                     let end = read_end(done);
                     shell.metrics.handed_over(&end);
                     shell.dispatch(Event::HandedOver(call, end));
@@ -199,6 +218,19 @@
     }
 }
 
+/// Reads which shards are short of room; `None` when nothing was run.
+fn read_short(done: &Done) -> Option<Vec<ShortShard>> {
+    let short = done.short.iter().map(|short| ShortShard {
+        shard: short.shard,
+        share: f64::from(short.share).clamp(0.0, 1.0),
+    });
+    (done.status != 0).then(|| short.collect())
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
+
 /// Reads how a search ended at another instance.
 fn read_end(done: Done) -> Handed<UpstreamReply> {
     if done.status == 0 {
--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -101,6 +101,16 @@
         self.tier.borrow().sends_away()
     }
 
+    /// Returns whether the sender of a call is known to wait for it.
+    pub(super) fn is_confirmed(&self, call: CallId) -> bool {
+        self.tier.borrow().is_confirmed(call)
+    }
+
+    /// Returns the time that the ways between two instances take at the most.
+    pub(super) fn hop_delay(&self) -> Duration {
+        self.tier.borrow().settings().hop_delay
+    }
+
     pub(super) fn set_draining(self: &Rc<Self>) {
         self.dispatch(Event::Drain);
     }
@@ -178,6 +188,7 @@
             Effect::HandOver(order) => self.peers.hand_over(self, order),
             Effect::Withdraw(call, from) => self.peers.withdraw(call, &from),
             Effect::Disconnect(name) => self.peers.disconnect(self, &name),
+            Effect::Confirm(call, to) => self.peers.confirm(call, &to),
             Effect::Ping(name) => self.peers.ping(&name),
             Effect::Forget(upstream) => self.pools.forget(upstream),
             Effect::Try(upstream, address) => {
--- a/crates/briarcove/tests/peers.rs
+++ b/crates/briarcove/tests/peers.rs
@@ -6,7 +6,7 @@
 };
 
 use nix::sys::signal::Signal;
-use rig::edge::{Behaviour, Site, Upstream, route_one};
+use rig::edge::{Behaviour, Site, Upstream, route_gather, route_one};
 
 use crate::edge::{PROGRAM, folder, header, started};
 
@@ -56,6 +56,56 @@
     }
 }
 
+/// Four shards have their only upstreams beside another instance, which asks them and returns the
+/// records of all of them as one reply; once it is gone they are asked from here.
+#[test]
+fn shards_elsewhere_are_asked_by_an_instance_beside_them() {
+    let shards: Vec<String> = (0..8).map(|shard| format!("shard-{shard}")).collect();
+    let mut site = Site::new(&folder("branch_here")).unwrap();
+    let mut upstreams = Vec::new();
+    for (at, shard) in shards.iter().enumerate() {
+        let quick = Behaviour::Replies(Duration::from_millis(2));
+        let mut upstream = Upstream::start(&format!("up-{at}"), shard, quick).unwrap();
+        upstream.data_centre = if at < 4 { "here" } else { "there" };
+        site.register(&upstream, "ready");
+        upstreams.push(upstream);
+    }
+    let names: Vec<&str> = shards.iter().map(String::as_str).collect();
+    site.configure(1, &[route_gather("/search/", &names, 0.6, 500)], &names);
+    site.start(PROGRAM.as_ref()).unwrap();
+    let mut there = site
+        .beside(&folder("branch_there"), "edge-there-1", 0.5)
+        .unwrap();
+    there.data_centre = "there";
+    there.start(PROGRAM.as_ref()).unwrap();
+    assert!(hands_over(&site, Duration::from_secs(10)));
+    let is_whole = |id: &str| {
+        let answer = site.ask("GET", "/search/2f", id, 1200).unwrap();
+        let signatures = header(&answer, "x-part-stamps").split(", ").count();
+        let records: Vec<&[u8]> = answer.body().chunks(16).collect();
+        answer.status() == 200
+            && header(&answer, "x-missing-parts") == "0"
+            && (signatures, records.len()) == (8, 8)
+            && records.is_sorted_by(|a, b| a >= b)
+    };
+    assert!(is_whole("b1"));
+    there.signal(Signal::SIGKILL).unwrap();
+    there.wait().unwrap();
+    for round in 0..5 {
+        assert!(
+            is_whole(&format!("c{round}")),
+            "search {round} after the kill"
+        );
+    }
+    for upstream in &upstreams {
+        let mut ids: Vec<String> = upstream.arrivals().into_iter().map(|it| it.id).collect();
+        let all = ids.len();
+        ids.sort();
+        ids.dedup();
+        assert_eq!(ids.len(), all, "a shard with one upstream was asked twice");
+    }
+}
+
 /// Returns how many replies to watches an instance has had from the store.
 fn watched(site: &Site) -> u64 {
     let metrics = site.metrics().unwrap();
--- a/crates/rig/src/edge/site.rs
+++ b/crates/rig/src/edge/site.rs
@@ -35,6 +35,8 @@
 pub struct Site {
     /// The object store.
     pub store: Store,
+    /// Data centre of the instance.
+    pub data_centre: &'static str,
     server: Arc<Server>,
     instance: String,
     power: f64,
@@ -86,6 +88,7 @@
         let (metrics, claim_metrics) = free_address()?;
         Ok(Self {
             store,
+            data_centre: "here",
             server,
             store_at,
             instance: instance.to_owned(),
@@ -181,7 +184,7 @@
     fn settings(&self) -> Value {
         let port = self.metrics.port();
         json!({
-            "node": self.instance, "zone": "here", "region": "near",
+            "node": self.instance, "zone": self.data_centre, "region": "near",
             "listen": {"front": self.callers.to_string(), "ready": self.readiness.to_string()},
             "internalPorts": [port, port + 1],
             "limits": {"maxFds": 2870, "cpuShare": self.power},
--- a/crates/rig/src/edge/upstream.rs
+++ b/crates/rig/src/edge/upstream.rs
@@ -86,6 +86,8 @@
 pub struct Upstream {
     name: String,
     service: String,
+    /// Data centre that its entry names.
+    pub data_centre: &'static str,
     state: Arc<Mutex<State>>,
     server: Server,
 }
@@ -123,6 +125,7 @@
         Ok(Self {
             name: name.to_owned(),
             service: service.to_owned(),
+            data_centre: "here",
             state,
             server,
         })
@@ -141,7 +144,8 @@
     /// Returns its entry in the store.
     pub fn entry(&self, state: &str) -> Value {
         let address = self.address().to_string();
-        json!({"service": self.service, "addr": address, "zone": "here", "version": "v1",
+        json!({"service": self.service, "addr": address, "zone": self.data_centre,
+            "version": "v1",
             "slots": 2, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1_700_000_000_000_u64})
     }
 
--- a/crates/tier/src/budget.rs
+++ b/crates/tier/src/budget.rs
@@ -42,35 +42,35 @@
 
 impl Extra {
     /// Counts a request.
-    pub fn request(&mut self, now: Time, bound: &Bound) {
-        self.step(now, bound).requests += 1;
+    pub fn request(&mut self, now: Time, window: Duration) {
+        self.step(now, window).requests += 1;
         self.requests += 1;
     }
 
     /// Takes an extra attempt if the bound has room.
     pub fn take(&mut self, now: Time, bound: &Bound) -> bool {
-        self.step(now, bound);
+        self.step(now, bound.window);
         let allowed = (bound.share * self.requests as f64 + bound.slack) * USED_SHARE;
         if (self.extra + 1) as f64 > allowed {
             return false;
         }
-        self.step(now, bound).extra += 1;
+        self.step(now, bound.window).extra += 1;
         self.extra += 1;
         true
     }
 
     /// Drops what has left the window and returns the present step.
-    fn step(&mut self, now: Time, bound: &Bound) -> &mut Step {
+    fn step(&mut self, now: Time, window: Duration) -> &mut Step {
         // What a step counted last is as old as the window only after the step's own length.
         while let Some(first) = self.steps.front()
-            && now.since(first.start) > bound.window + bound.window / STEPS
+            && now.since(first.start) > window + window / STEPS
         {
             self.requests -= first.requests;
             self.extra -= first.extra;
             self.steps.pop_front();
         }
         let fresh = match self.steps.back() {
-            Some(last) => now.since(last.start) >= bound.window / STEPS,
+            Some(last) => now.since(last.start) >= window / STEPS,
             None => true,
         };
         if fresh {
--- a/crates/tier/src/call.rs
+++ b/crates/tier/src/call.rs
@@ -30,6 +30,10 @@
     pub(crate) least: usize,
     /// The instance that runs it instead of this one.
     pub(crate) handed_to: Option<InstanceName>,
+    /// Shards that another instance asks, if any.
+    pub(crate) branch: Option<Branch>,
+    /// What that instance has got from them.
+    pub(crate) batch: Option<C::Reply>,
     /// The instance that it was handed to last.
     pub(crate) via: Option<InstanceName>,
     /// How often it was handed to an instance.
@@ -50,6 +54,19 @@
     pub(crate) trail: Vec<Trail>,
 }
 
+/// Shards of a search that another instance asks.
+#[derive(Debug)]
+pub(crate) struct Branch {
+    /// The instance.
+    pub(crate) to: InstanceName,
+    /// Positions of all shards that are far from here.
+    pub(crate) far: Vec<usize>,
+    /// Positions of those that it asks.
+    pub(crate) parts: Vec<usize>,
+    /// Whether its reply has not come.
+    pub(crate) is_open: bool,
+}
+
 /// What is asked of one service.
 #[derive(Debug)]
 pub(crate) struct Part<R> {
@@ -72,6 +89,8 @@
     Open,
     /// It is in.
     In(R),
+    /// It is in, among those that another instance has got.
+    Batched,
     /// It can't come any more, or was not asked for.
     Lost,
 }
@@ -94,13 +113,19 @@
 }
 
 impl<C: Carried> Call<C> {
+    /// Returns the instance that is waited for, if any.
+    pub(crate) fn elsewhere(&self) -> Option<&InstanceName> {
+        let branch = self.branch.as_ref().filter(|branch| branch.is_open);
+        self.handed_to.as_ref().or(branch.map(|branch| &branch.to))
+    }
+
     pub(crate) fn progress(&self) -> Progress {
         let count = |wanted: fn(&State<C::Reply>) -> bool| {
             self.parts.iter().filter(|part| wanted(&part.state)).count()
         };
         Progress {
             asked: self.parts.len(),
-            answered: count(|state| matches!(state, State::In(_))),
+            answered: count(|state| matches!(state, State::In(_) | State::Batched)),
             lost: count(|state| matches!(state, State::Lost)),
             least: self.least,
         }
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -25,6 +25,8 @@
     Withdraw(CallId, InstanceName),
     /// Closes the connection to another instance, which ends the searches that it has.
     Disconnect(InstanceName),
+    /// Tells another instance that the answer to a search is still wanted.
+    Confirm(CallId, InstanceName),
     /// Asks another instance for a sign of life.
     Ping(InstanceName),
     /// Closes the idle connections to an upstream that is no longer used.
@@ -79,6 +81,30 @@
     pub is_return: bool,
     /// Whether upstreams may have seen it before.
     pub is_repeat: bool,
+    /// The shards that it is to ask; all when there is none.
+    pub branch: Option<BranchOrder>,
+}
+
+/// Shards that another instance is to ask.
+#[derive(Debug)]
+pub struct BranchOrder {
+    /// Positions of the shards in the index.
+    pub shards: Box<[u32]>,
+    /// Fewest of them that are worth an answer after the soft end.
+    pub least: usize,
+    /// Time by which the answer is due here.
+    pub soft_end: Time,
+    /// Whether whoever sent the search is known to wait for it.
+    pub is_confirmed: bool,
+}
+
+/// A shard that takes fewer than all searches.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ShortShard {
+    /// Position in the index.
+    pub shard: u32,
+    /// Share of searches that it takes.
+    pub share: f64,
 }
 
 /// The answer to a caller.
@@ -99,7 +125,7 @@
 }
 
 /// An answer made of parts.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Gathered {
     /// Signatures of the parts.
     pub signatures: Vec<Box<str>>,
@@ -107,6 +133,8 @@
     pub missing: usize,
     /// The greatest records, falling.
     pub body: Bytes,
+    /// Shards that are short of room, for an instance that asked for a branch.
+    pub short: Vec<ShortShard>,
 }
 
 /// Why a request was refused.
@@ -189,6 +217,8 @@
     pub late: bool,
     /// The instance that it was handed to, if any.
     pub via: Option<InstanceName>,
+    /// The instance that asked shards far from here, if any.
+    pub beside: Option<InstanceName>,
     /// What was seen of the upstreams that failed, were late or did not reply.
     pub trail: Vec<Trail>,
 }
--- a/crates/tier/src/event.rs
+++ b/crates/tier/src/event.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     config::Config,
+    effect::ShortShard,
     handover::Instance,
     settings::Settings,
     upstream::{Entry, UpKey},
@@ -31,6 +32,8 @@
     fn is_success(&self) -> bool;
     /// The signature of the upstream over its reply.
     fn signature(&self) -> Option<&str>;
+    /// The signatures of the parts of a reply that another instance has gathered.
+    fn signatures(&self) -> Vec<Box<str>>;
     /// The body.
     fn body(&self) -> &Bytes;
 }
@@ -56,6 +59,8 @@
     Instances(Vec<Instance>),
     /// A search that was handed to another instance has ended there, or could not be run there.
     HandedOver(CallId, Handed<C::Reply>),
+    /// Another instance, which asks shards for a search, has told which of them are short of room.
+    Short(CallId, Vec<ShortShard>),
     /// The instance that handed this search over still waits for it.
     Confirmed(CallId),
     /// Another instance was heard from.
@@ -95,6 +100,21 @@
     pub digest: u64,
     /// Who sent it here.
     pub origin: Origin,
+    /// The shards that are to be asked, if another instance asks the others.
+    pub branch: Option<BranchHead>,
+}
+
+/// Shards of a search that another instance has given to this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct BranchHead {
+    /// Positions of the shards in the index.
+    pub shards: Box<[u32]>,
+    /// Fewest of them that are worth an answer after the soft end.
+    pub least: usize,
+    /// Time until the answer is due, from the arrival on.
+    pub due: Duration,
+    /// Whether second attempts may be sent before the other instance confirms that it waits.
+    pub is_confirmed: bool,
 }
 
 /// Who sent a request to this instance.
--- a/crates/tier/src/handover.rs
+++ b/crates/tier/src/handover.rs
@@ -31,6 +31,13 @@
 /// Spread of the random part of a choice, which keeps instances apart.
 const JITTER_SHARE: f64 = 0.5;
 
+/// Weight of the processors in a data centre without replicas of a service, when what all instances
+/// may do there is divided; they ask it themselves only when those beside it can't.
+const AWAY_WEIGHT: f64 = 0.25;
+
+/// Time since which an instance must have been heard from to be tried when one beside it is silent.
+const HEARD_LATELY: Duration = Duration::from_secs(1);
+
 /// Shortest time for which an instance that was not reached, or was silent, is handed nothing.
 const REST_MIN: Duration = Duration::from_secs(1);
 
@@ -67,8 +74,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Instances {
     peers: Vec<Peer>,
-    /// Sum of what all have of a processor.
-    power: f64,
+    /// What the instances of each data centre have of a processor.
+    powers: Vec<(DataCentre, f64)>,
     /// How many there are, this one included; none when they are not known.
     count: Option<usize>,
 }
@@ -77,7 +84,14 @@
     /// Takes the instances that there are.
     pub fn set(&mut self, all: Vec<Instance>, own: &str) {
         self.count = Some(all.len().max(1));
-        self.power = all.iter().map(|instance| instance.power).sum();
+        self.powers.clear();
+        for instance in &all {
+            let centre = &instance.data_centre;
+            match self.powers.iter_mut().find(|(known, _)| known == centre) {
+                Some((_, power)) => *power += instance.power,
+                None => self.powers.push((centre.clone(), instance.power)),
+            }
+        }
         let old = std::mem::take(&mut self.peers);
         let others = all.into_iter().filter(|it| it.name.as_str() != own);
         self.peers = others
@@ -99,9 +113,22 @@
         self.count
     }
 
-    /// Returns the part of all processors that an instance has, if they are known.
-    pub fn part(&self, power: f64) -> Option<f64> {
-        (self.power > 0.0).then(|| (power / self.power).min(1.0))
+    /// Returns the part of all processors that an instance has, if they are known; those in data
+    /// centres that are not beside what is shared count for less.
+    pub fn part(&self, own: Own<'_>, is_beside: impl Fn(&DataCentre) -> bool) -> Option<f64> {
+        let mut sum = 0.0;
+        let mut own_weight = AWAY_WEIGHT;
+        for (centre, power) in &self.powers {
+            let weight = match is_beside(centre) {
+                true => 1.0,
+                false => AWAY_WEIGHT,
+            };
+            sum += weight * power;
+            if centre.as_str() == own.data_centre {
+                own_weight = weight;
+            }
+        }
+        (sum > 0.0).then(|| (own_weight * own.power / sum).min(1.0))
     }
 
     /// Returns the instance that a search over `parts` shards is handed to, if any; `near` is the
@@ -138,6 +165,47 @@
         best.map(|(peer, _)| &peer.instance)
     }
 
+    /// Returns the instance of a data centre that shards are given to, if any has as much of a
+    /// processor as this one.
+    pub fn beside(
+        &self,
+        now: Time,
+        centre: &DataCentre,
+        power: f64,
+        rng: &mut impl Rng,
+    ) -> Option<&Instance> {
+        let is_fit = |peer: &&Peer| {
+            let instance = &peer.instance;
+            instance.data_centre == *centre && instance.power >= power && peer.rests_until <= now
+        };
+        let mut best: Option<(&Peer, f64)> = None;
+        for peer in self.peers.iter().filter(is_fit) {
+            let load = f64::from(peer.in_hand + 1) / peer.instance.power;
+            let load = load * (1.0 + JITTER_SHARE * rng.random::<f64>());
+            if best.is_none_or(|(_, least)| load < least) {
+                best = Some((peer, load));
+            }
+        }
+        best.map(|(peer, _)| &peer.instance)
+    }
+
+    /// Returns the other instances in the data centre of one that is silent which have not been heard
+    /// from lately either.
+    pub fn silent_beside(&self, now: Time, silent: &InstanceName) -> Vec<InstanceName> {
+        let named = |peer: &&Peer| peer.instance.name == *silent;
+        let Some(silent) = self.peers.iter().find(named) else {
+            return Vec::new();
+        };
+        let is_silent = |peer: &&Peer| {
+            let is_heard = peer.heard.is_some_and(|at| now.since(at) < HEARD_LATELY);
+            peer.instance.data_centre == silent.instance.data_centre
+                && peer.instance.name != silent.instance.name
+                && !is_heard
+        };
+        let others = self.peers.iter().filter(is_silent);
+        others.map(|peer| peer.instance.name.clone()).collect()
+    }
+
     /// Counts a search that was handed over.
     pub fn handed(&mut self, name: &InstanceName) {
         if let Some(peer) = self.find(name) {
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -8,9 +8,11 @@
 //! [`comeback`] tells callers when to return, [`budget`] bounds extra attempts, [`crash`] stops
 //! requests that break upstreams, [`valve`] keeps shards from drowning, [`reach`] notices that
 //! nothing is reached, [`losses`] notices what gets lost, [`handover`] chooses the instance that runs a search,
+//! [`branch`] the shards of it that another one asks,
 //! [`follow`] the few instances that watch the platform.
 
 pub mod admit;
+pub mod branch;
 pub mod budget;
 mod call;
 pub mod comeback;
@@ -36,7 +38,7 @@
 pub mod valve;
 
 pub use config::{Config, Route, Target};
-pub use effect::{Answer, Effect, Note, Refusal};
+pub use effect::{Answer, Effect, Note, Refusal, ShortShard};
 pub use event::{AttemptKey, Carried, Event, Failure, Handed, Head, Origin, Outcome};
 pub use handover::Instance;
 pub use settings::Settings;
--- a/crates/tier/src/place.rs
+++ b/crates/tier/src/place.rs
@@ -11,8 +11,9 @@
 
 use crate::upstream::{UpKey, Upstream};
 
-/// Extra time that another data centre has to make up for, as a share of the usual time.
-const REMOTE_SHARE: f64 = 0.5;
+/// Extra time, as a share of the usual time, that an upstream has to make up for unless it is sound
+/// and in the own data centre.
+const REMOTE_SHARE: f64 = 1.0;
 
 /// How much slower a cold upstream is; the usual ratio of a started process.
 const COLD_RATIO: f64 = 1.6;
@@ -71,7 +72,8 @@
     for (key, upstream) in upstreams {
         let expected = expected(now, upstream, usual);
         let mut cost = expected + usual.mul_f64(JITTER_SHARE * rng.random::<f64>());
-        if upstream.entry.data_centre.as_str() != data_centre {
+        let is_near = upstream.entry.data_centre.as_str() == data_centre;
+        if !is_near || !upstream.is_sound(now) {
             cost += usual.mul_f64(REMOTE_SHARE);
         }
         cost += usual.mul_f64(LOSS_COST * upstream.losses.get(now));
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod attempts;
+mod branches;
 mod calls;
 mod handed;
 mod learning;
@@ -12,11 +13,12 @@
     rc::Rc,
 };
 
-use base::{CallId, ServiceName, Time};
+use base::{CallId, DataCentre, ServiceName, Time};
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
 
 use crate::{
+    branch::Told,
     budget::{Bound, Extra},
     call::Call,
     comeback::Comeback,
@@ -25,7 +27,7 @@
     directory::Directory,
     effect::Effect,
     event::{AttemptKey, Carried, Event},
-    handover::Instances,
+    handover::{Instances, Own},
     latency::Shape,
     losses,
     reach::Reach,
@@ -65,6 +67,8 @@
     routes: HashMap<Rc<str>, RouteState>,
     extras: HashMap<ServiceName, Extra>,
     valves: HashMap<ServiceName, Valve>,
+    /// What other instances have told about shards that they ask for this one.
+    told: HashMap<ServiceName, Told>,
     calls: HashMap<CallId, Call<C>>,
     attempts: SlotMap<AttemptKey, Attempt>,
     crashes: Crashes,
@@ -89,6 +93,7 @@
             routes: HashMap::new(),
             extras: HashMap::new(),
             valves: HashMap::new(),
+            told: HashMap::new(),
             calls: HashMap::new(),
             attempts: SlotMap::with_key(),
             crashes: Crashes::default(),
@@ -115,11 +120,8 @@
             Event::Removed(name) => self.on_removed(now, &name, effects),
             Event::Instances(all) => self.instances.set(all, &self.settings.instance),
             Event::HandedOver(id, end) => self.on_handed(now, id, end, effects),
-            Event::Confirmed(id) => {
-                if let Some(call) = self.calls.get_mut(&id) {
-                    call.is_confirmed = true;
-                }
-            }
+            Event::Short(id, short) => self.on_short(now, id, &short),
+            Event::Confirmed(id) => self.on_confirmed(id, effects),
             Event::Heard(name) => self.instances.heard(now, &name),
             Event::Quarantine(digest) => self.crashes.quarantine(now, digest),
             Event::PlatformLost => self.on_platform_lost(effects),
@@ -143,7 +145,7 @@
             Due::Close(attempt) => attempts.contains_key(*attempt),
             Due::SoftEnd(id) | Due::Deadline(id) => calls.contains_key(id),
             Due::Overdue(id) | Due::Silent(id) => {
-                calls.get(id).is_some_and(|call| call.handed_to.is_some())
+                calls.get(id).is_some_and(|call| call.elsewhere().is_some())
             }
             Due::Removals | Due::Try => true,
         })
@@ -160,6 +162,11 @@
         self.is_draining || self.reach.is_cut() || self.reach.is_blind()
     }
 
+    /// Returns the settings of the decisions.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
     /// Returns the configuration in force.
     pub fn config(&self) -> Option<&Rc<Config>> {
         self.config.as_ref()
@@ -200,18 +207,27 @@
         }
     }
 
-    /// Returns the part of what all instances may do together that is this one's: as large as its
-    /// part of the processors, as the larger ones run the searches of the others.
-    fn part(&self) -> f64 {
-        let known = self.instances.part(self.settings.power);
+    /// Returns the part of what all instances may do together at a service that is this one's: as
+    /// large as its part of the processors, as the larger ones run the searches of the others, and
+    /// larger beside the service's replicas, where most requests to it come from.
+    fn part(&self, service: &ServiceName) -> f64 {
+        let own = Own {
+            power: self.settings.power,
+            data_centre: &self.settings.data_centre,
+        };
+        let is_beside = |centre: &DataCentre| {
+            let mut upstreams = self.directory.of(service);
+            upstreams.any(|(_, upstream)| upstream.entry.data_centre == *centre)
+        };
+        let known = self.instances.part(own, is_beside);
         known.unwrap_or(1.0 / self.settings.assumed_instances.max(1) as f64)
     }
 
-    /// Returns this instance's part of the bound on extra attempts.
-    fn bound(&self) -> Bound {
+    /// Returns this instance's part of the bound on extra attempts at a service.
+    fn bound(&self, service: &ServiceName) -> Bound {
         Bound {
             share: self.settings.extra_share,
-            slack: self.settings.extra_slack * self.part(),
+            slack: self.settings.extra_slack * self.part(service),
             window: self.settings.extra_window,
         }
     }
@@ -221,7 +237,7 @@
         let declared = config
             .service(service)
             .map_or(usize::MAX, |s| s.max_connections);
-        ((declared as f64 * self.part()) as usize).clamp(1, MAX_CONNECTIONS)
+        ((declared as f64 * self.part(service)) as usize).clamp(1, MAX_CONNECTIONS)
     }
 
     /// Returns how much of its searches a shard takes.
--- a/crates/tier/src/tier/answers.rs
+++ b/crates/tier/src/tier/answers.rs
@@ -8,7 +8,7 @@
 use crate::{
     call::{Call, Part, State},
     config::Target,
-    effect::{Answer, Effect, Ended, Fault, Gathered, Note, Refusal, Trail},
+    effect::{Answer, Effect, Ended, Fault, Gathered, Note, Refusal, ShortShard, Trail},
     ending::{self, Verdict},
     event::{Carried, Head, Reply},
     merge,
@@ -23,11 +23,13 @@
         match ending::judge(now, call.soft_end, call.progress()) {
             Verdict::Wait => {}
             Verdict::Answer => self.answer(now, id, effects),
+            // Whoever asked for a branch decides with the other shards.
+            Verdict::GiveUp if self.is_branch(id) => self.answer(now, id, effects),
             Verdict::GiveUp => self.give_up(now, id, Fault::Upstream, effects),
         }
     }
 
-    fn answer(&mut self, now: Time, id: CallId, effects: &mut Vec<Effect<C>>) {
+    pub(super) fn answer(&mut self, now: Time, id: CallId, effects: &mut Vec<Effect<C>>) {
         let Some(mut call) = self.calls.remove(&id) else {
             return;
         };
@@ -40,7 +42,12 @@
             effects,
         );
         self.abandon_all(now, &call);
-        if let Some(answer) = into_answer(call) {
+        self.withdraw(id, &call, effects);
+        let short = match call.head.branch {
+            Some(_) => self.short_shards(now, &call.config, call.route),
+            None => Vec::new(),
+        };
+        if let Some(answer) = into_answer(call, short) {
             effects.push(Effect::Answer(id, answer));
         }
     }
@@ -71,7 +78,7 @@
             return;
         }
         let progress = call.progress();
-        if progress.answered >= progress.least.max(1) {
+        if progress.answered >= progress.least.max(1) || self.is_branch(id) {
             self.answer(now, id, effects);
         } else {
             self.give_up(now, id, Fault::Timeout, effects);
@@ -100,10 +107,10 @@
     fn abandon_all(&mut self, now: Time, call: &Call<C>) {
         let route = Rc::from(&*call.config.route(call.route).name);
         let is_gather = is_gather(&call.config, call.route);
-        if is_gather && call.handed_to.is_none() {
+        if is_gather && call.handed_to.is_none() && call.head.branch.is_none() {
             let is_over = now >= call.soft_end;
             let is_missed = |part: &&Part<C::Reply>| match part.state {
-                State::In(_) => part.is_late,
+                State::In(_) | State::Batched => part.is_late,
                 State::Lost => !part.tried.is_empty(),
                 State::Open => is_over && !part.tried.is_empty(),
             };
@@ -162,6 +169,7 @@
             extra: call.extra,
             late,
             via: call.via.clone(),
+            beside: call.branch.as_ref().map(|branch| branch.to.clone()),
             trail,
         }))));
     }
@@ -186,28 +194,37 @@
             extra: 0,
             late: false,
             via: None,
+            beside: None,
             trail: Vec::new(),
         }))));
     }
 }
 
 /// Makes the answer of a call that has enough parts.
-fn into_answer<C: Carried>(call: Call<C>) -> Option<Answer<C::Reply>> {
-    let asked = call.parts.len();
+fn into_answer<C: Carried>(call: Call<C>, short: Vec<ShortShard>) -> Option<Answer<C::Reply>> {
+    let (asked, answered) = (call.parts.len(), call.progress().answered);
+    let batch = call.batch;
     let gather = is_gather(&call.config, call.route);
     let mut replies = call.parts.into_iter().filter_map(|part| match part.state {
         State::In(reply) => Some(reply),
-        State::Open | State::Lost => None,
+        State::Open | State::Lost | State::Batched => None,
     });
     let Target::Gather(target) = &call.config.route(call.route).target else {
         return replies.next().map(Answer::Reply);
     };
     debug_assert!(gather);
     let replies: Vec<C::Reply> = replies.collect();
-    let signatures = replies.iter().filter_map(|r| r.signature()).map(Box::from);
+    let mut signatures: Vec<Box<str>> = replies
+        .iter()
+        .filter_map(|r| r.signature())
+        .map(Box::from)
+        .collect();
+    signatures.extend(batch.iter().flat_map(Reply::signatures));
+    let bodies = replies.iter().chain(&batch).map(Reply::body);
     Some(Answer::Gathered(Gathered {
-        signatures: signatures.collect(),
-        missing: asked - replies.len(),
-        body: merge::greatest(replies.iter().map(Reply::body), target.top),
+        signatures,
+        missing: asked - answered,
+        body: merge::greatest(bodies, target.top),
+        short,
     }))
 }
--- a/crates/tier/src/tier/attempts.rs
+++ b/crates/tier/src/tier/attempts.rs
@@ -238,7 +238,7 @@
         }
         let (repeated, service) = (!part.tried.is_empty(), part.service.clone());
         if repeated {
-            let bound = self.bound();
+            let bound = self.bound(&service);
             if !self.extras.entry(service).or_default().take(now, &bound) {
                 return false;
             }
--- /dev/null
+++ b/crates/tier/src/tier/branches.rs
@@ -0,0 +1,302 @@
+//! Shards of a search that another instance asks.
+
+use std::rc::Rc;
+
+use base::{CallId, InstanceName, Time};
+
+use super::{Tier, calls::is_gather};
+use crate::{
+    admit::Verdict,
+    branch::{self, Told},
+    call::{Branch, Call, State},
+    config::{Config, Target},
+    effect::{BranchOrder, Effect, HandOver, ShortShard},
+    event::{Carried, Handed, Reply},
+    handover::Instance,
+    place::{self, Candidate},
+    timers::Due,
+    valve::Valve,
+};
+
+/// Part of the time until the answer is due after which an instance without a reply is asked whether
+/// it is alive; most replies are in by then.
+const OVERDUE_SHARE: f64 = 0.6;
+
+/// What is planned for the shards of a search that have no replica in the own data centre.
+pub(super) struct Plan {
+    to: Instance,
+    /// Positions of the shards, ascending.
+    shards: Vec<usize>,
+}
+
+impl Plan {
+    pub(super) fn has(&self, at: usize) -> bool {
+        self.shards.binary_search(&at).is_ok()
+    }
+}
+
+impl<C: Carried> Tier<C> {
+    /// Finds the instance that is to ask the shards that are far from here.
+    pub(super) fn plan_branch(&mut self, now: Time, call: &Call<C>) -> Option<Plan> {
+        let is_whole = call.head.branch.is_none() && !call.may_have_run;
+        if !is_whole || !is_gather(&call.config, call.route) {
+            return None;
+        }
+        let centres = call.parts.iter().map(|part| {
+            let upstreams = self.directory.of(&part.service);
+            upstreams
+                .filter(|(_, upstream)| !upstream.entry.draining)
+                .map(|(_, upstream)| &upstream.entry.data_centre)
+        });
+        let own = &*self.settings.data_centre;
+        let far = branch::plan(own, centres, &mut self.rng);
+        far.into_iter().find_map(|far| {
+            let power = self.settings.power;
+            let to = self
+                .instances
+                .beside(now, &far.centre, power, &mut self.rng)?;
+            Some(Plan {
+                to: to.clone(),
+                shards: far.shards,
+            })
+        })
+    }
+
+    /// Returns the share of searches that a far shard takes, as far as it was told.
+    pub(super) fn told_share(&self, now: Time, call: &Call<C>, at: usize) -> f64 {
+        let told = self.told.get(&call.parts[at].service);
+        told.map_or(1.0, |told| told.share(now))
+    }
+
+    /// Gives the far shards that are to be asked to another instance.
+    pub(super) fn branch_out(
+        &mut self,
+        now: Time,
+        id: CallId,
+        call: &mut Call<C>,
+        plan: Plan,
+        verdicts: &[Verdict],
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let is_sent = |at: &usize| verdicts[*at] == Verdict::Send;
+        let parts: Vec<usize> = plan.shards.iter().copied().filter(is_sent).collect();
+        if parts.is_empty() {
+            return;
+        }
+        let room = call.parts.len().saturating_sub(call.least + call.skipped);
+        self.instances.handed(&plan.to.name);
+        let overdue = call.soft_end.since(now).mul_f64(OVERDUE_SHARE);
+        self.timers.set(now + overdue, Due::Overdue(id));
+        effects.push(Effect::HandOver(HandOver {
+            call: id,
+            to: plan.to.name.clone(),
+            address: plan.to.address,
+            request: call.request.clone(),
+            deadline: call.deadline,
+            version: call.config.version,
+            is_return: call.is_return,
+            is_repeat: false,
+            branch: Some(BranchOrder {
+                shards: parts.iter().map(|at| *at as u32).collect(),
+                least: parts.len().saturating_sub(room),
+                soft_end: call.soft_end,
+                is_confirmed: call.is_confirmed,
+            }),
+        }));
+        call.heard_by = now;
+        call.handed_at = now;
+        call.branch = Some(Branch {
+            to: plan.to.name,
+            far: plan.shards,
+            parts,
+            is_open: true,
+        });
+    }
+
+    /// Sends the parts that another instance has asked for; they were admitted there.
+    pub(super) fn run_branch(
+        &mut self,
+        now: Time,
+        id: CallId,
+        mut call: Call<C>,
+        candidates: &[Option<Candidate>],
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        self.timers.set(call.deadline, Due::Deadline(id));
+        self.timers.set(call.soft_end, Due::SoftEnd(id));
+        for (part, candidate) in call.parts.iter_mut().zip(candidates) {
+            if candidate.is_none() {
+                part.state = State::Lost;
+            }
+        }
+        self.calls.insert(id, call);
+        for (at, candidate) in candidates.iter().enumerate() {
+            if let Some(candidate) = candidate {
+                self.send(now, id, at, candidate.key, effects);
+            }
+        }
+        self.settle(now, id, effects);
+    }
+
+    /// Returns the shards of a route that take fewer than all searches, as seen here.
+    pub(super) fn short_shards(&self, now: Time, config: &Config, route: usize) -> Vec<ShortShard> {
+        let Target::Gather(gather) = &config.route(route).target else {
+            return Vec::new();
+        };
+        let share = |service| {
+            let mut upstreams = self.directory.of(service);
+            match upstreams.any(|(_, upstream)| upstream.is_usable(now)) {
+                true => self.valves.get(service).map_or(1.0, |valve| valve.share()),
+                false => 0.0,
+            }
+        };
+        let shards = gather.shards.iter().enumerate();
+        shards
+            .map(|(shard, service)| ShortShard {
+                shard: shard as u32,
+                share: share(service),
+            })
+            .filter(|short| short.share < Valve::default().share())
+            .collect()
+    }
+
+    /// Takes what an instance has told about the shards that it asks.
+    pub(super) fn on_short(&mut self, now: Time, id: CallId, short: &[ShortShard]) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let Some(branch) = &call.branch else {
+            return;
+        };
+        for at in &branch.far {
+            let found = short.iter().find(|short| short.shard as usize == *at);
+            let share = found.map_or(1.0, |short| short.share);
+            let service = call.parts[*at].service.clone();
+            self.told.insert(service, Told::new(now, share));
+        }
+    }
+
+    /// Tells the instance that asks far shards that its reply is still wanted.
+    pub(super) fn on_confirmed(&mut self, id: CallId, effects: &mut Vec<Effect<C>>) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.is_confirmed = true;
+        if let Some(branch) = call.branch.as_ref().filter(|branch| branch.is_open) {
+            effects.push(Effect::Confirm(id, branch.to.clone()));
+        }
+    }
+
+    /// Returns whether second attempts of a call may be sent.
+    pub fn is_confirmed(&self, id: CallId) -> bool {
+        self.calls.get(&id).is_some_and(|call| call.is_confirmed)
+    }
+
+    /// Ends the wait for the instance that asks far shards; returns it.
+    pub(super) fn take_branch_back(&mut self, id: CallId) -> Option<InstanceName> {
+        let branch = self.calls.get_mut(&id)?.branch.as_mut()?;
+        if !std::mem::take(&mut branch.is_open) {
+            return None;
+        }
+        self.instances.ended(&branch.to);
+        Some(branch.to.clone())
+    }
+
+    /// Takes what another instance has got from far shards, or the news that it has got nothing.
+    pub(super) fn on_branch_ended(
+        &mut self,
+        now: Time,
+        id: CallId,
+        to: InstanceName,
+        end: Handed<C::Reply>,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        match end {
+            Handed::Answer(reply) => {
+                self.instances.heard(now, &to);
+                self.take_batch(now, id, reply);
+                self.settle(now, id, effects);
+            }
+            Handed::Declined => {
+                self.rest_instance(now, to, effects);
+                self.ask_far_shards(now, id, effects);
+            }
+            Handed::Broken => {
+                // Its shards may have used up their attempts.
+                self.rest_instance(now, to, effects);
+                self.lose_branch(id);
+                self.settle(now, id, effects);
+            }
+        }
+    }
+
+    fn take_batch(&mut self, now: Time, id: CallId, reply: C::Reply) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.may_have_run = true;
+        let Some(branch) = &call.branch else {
+            return;
+        };
+        let count = match reply.is_success() {
+            true => reply.signatures().len(),
+            false => 0,
+        };
+        let is_late = now >= call.soft_end;
+        for (nth, at) in branch.parts.iter().enumerate() {
+            let part = &mut call.parts[*at];
+            part.is_late = is_late;
+            part.state = match nth < count {
+                true => State::Batched,
+                false => State::Lost,
+            };
+        }
+        call.batch = (count > 0).then_some(reply);
+    }
+
+    /// Gives up the shards that another instance had.
+    fn lose_branch(&mut self, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.may_have_run = true;
+        if let Some(branch) = &call.branch {
+            for at in &branch.parts {
+                call.parts[*at].state = State::Lost;
+            }
+        }
+    }
+
+    /// Asks the shards from here that another instance did not take.
+    fn ask_far_shards(&mut self, now: Time, id: CallId, effects: &mut Vec<Effect<C>>) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let route = call.config.route(call.route);
+        let (objective, name) = (route.objective, Rc::from(&*route.name));
+        let parts = call.branch.as_ref().map(|branch| branch.parts.clone());
+        let usual = self.route_state(&name).shape.mean(objective);
+        for at in parts.unwrap_or_default() {
+            let service = self.calls[&id].parts[at].service.clone();
+            let extra = self.extras.entry(service.clone()).or_default();
+            extra.request(now, self.settings.extra_window);
+            let usable = self
+                .directory
+                .of(&service)
+                .filter(|(_, up)| up.is_usable(now));
+            let centre = &self.settings.data_centre;
+            if let Some(chosen) = place::choose(now, usable, centre, usual, &mut self.rng) {
+                self.send(now, id, at, chosen.key, effects);
+            } else if let Some(call) = self.calls.get_mut(&id) {
+                call.parts[at].state = State::Lost;
+            }
+        }
+        self.settle(now, id, effects);
+    }
+
+    /// Returns whether a call runs shards for another instance.
+    pub(super) fn is_branch(&self, id: CallId) -> bool {
+        let call = self.calls.get(&id);
+        call.is_some_and(|call| call.head.branch.is_some())
+    }
+}
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -4,14 +4,14 @@
 
 use base::{CallId, ServiceName, Time};
 
-use super::Tier;
+use super::{Tier, branches::Plan};
 use crate::{
     admit::{self, Admission, Demand, Shard, Verdict},
     call::{Call, Part, State},
     config::{Config, Route, Target},
     effect::{Answer, Effect, Fault, Refusal},
     ending,
-    event::{Carried, Head, Origin},
+    event::{BranchHead, Carried, Head, Origin},
     place::{self, Candidate},
     timers::Due,
 };
@@ -65,6 +65,10 @@
             .left
             .map_or(Duration::ZERO, |left| route.timeout.saturating_sub(left));
         let (services, least) = self.services(&name, route);
+        let Some((services, least)) = select(services, least, head.branch.as_ref()) else {
+            effects.push(Effect::Answer(id, Answer::Declined));
+            return;
+        };
         let (is_return, is_repeat) = match head.origin {
             Origin::Caller => (elapsed >= RETURN_AFTER, false),
             Origin::Instance {
@@ -73,7 +77,10 @@
                 ..
             } => (is_return, is_repeat),
         };
-        let soft_end = self.soft_end(arrived, route, elapsed);
+        let soft_end = match &head.branch {
+            Some(branch) => arrived + branch.due,
+            None => self.soft_end(arrived, route, elapsed),
+        };
         let call = Call {
             deadline: arrived + allowed.saturating_sub(self.settings.final_margin),
             request,
@@ -86,12 +93,15 @@
             parts: services.into_iter().map(Part::new).collect(),
             least,
             handed_to: None,
+            branch: None,
+            batch: None,
             via: None,
             handovers: 0,
             heard_by: now,
             may_have_run: is_repeat,
             is_repeat,
-            is_confirmed: head.origin == Origin::Caller,
+            is_confirmed: head.origin == Origin::Caller
+                || head.branch.as_ref().is_some_and(|it| it.is_confirmed),
             handed_at: now,
             extra: 0,
             skipped: 0,
@@ -158,7 +168,12 @@
         for (candidate, allowed) in candidates.iter_mut().zip(allowed) {
             *candidate = candidate.filter(|_| *allowed);
         }
-        let shards = self.shards(&call, &candidates);
+        if call.head.branch.is_some() {
+            self.count_requests(now, &call, |_| true);
+            return self.run_branch(now, id, call, &candidates, effects);
+        }
+        let plan = self.plan_branch(now, &call);
+        let shards = self.shards(now, &call, &candidates, plan.as_ref());
         let demand = Demand {
             least: call.least,
             available: self.available(now, &call),
@@ -177,8 +192,20 @@
                         call.skipped += 1;
                     }
                 }
+                if !call.may_have_run {
+                    let is_here = |at| plan.as_ref().is_none_or(|plan| !plan.has(at));
+                    self.count_requests(now, &call, is_here);
+                }
+                if let Some(plan) = plan {
+                    self.branch_out(now, id, &mut call, plan, &verdicts, effects);
+                }
+                let elsewhere = call.branch.as_ref().map(|branch| branch.parts.clone());
+                let elsewhere = elsewhere.unwrap_or_default();
                 self.calls.insert(id, call);
                 for (at, verdict) in verdicts.into_iter().enumerate() {
+                    if elsewhere.binary_search(&at).is_ok() {
+                        continue;
+                    }
                     if let (Verdict::Send, Some(candidate)) = (verdict, candidates[at]) {
                         self.send(now, id, at, candidate.key, effects);
                     }
@@ -193,20 +220,38 @@
     }
 
     /// Returns what is expected of each part.
-    fn shards(&self, call: &Call<C>, candidates: &[Option<Candidate>]) -> Vec<Shard> {
+    fn shards(
+        &self,
+        now: Time,
+        call: &Call<C>,
+        candidates: &[Option<Candidate>],
+        plan: Option<&Plan>,
+    ) -> Vec<Shard> {
         let is_gather = is_gather(&call.config, call.route);
-        let shard = |(part, found): (&Part<C::Reply>, &Option<Candidate>)| match found {
+        let share = |at: usize| match plan {
+            _ if !is_gather => 1.0,
+            Some(plan) if plan.has(at) => self.told_share(now, call, at),
+            _ => self.valve(&call.parts[at].service).share(),
+        };
+        let shard = |(at, found): (usize, &Option<Candidate>)| match found {
             None => Shard::Down,
             Some(candidate) => Shard::Up {
                 expected: candidate.expected,
-                share: if is_gather {
-                    self.valve(&part.service).share()
-                } else {
-                    1.0
-                },
+                share: share(at),
             },
         };
-        call.parts.iter().zip(candidates).map(shard).collect()
+        candidates.iter().enumerate().map(shard).collect()
+    }
+
+    /// Counts the first attempts of parts, which extra ones are measured against.
+    fn count_requests(&mut self, now: Time, call: &Call<C>, is_counted: impl Fn(usize) -> bool) {
+        let window = self.settings.extra_window;
+        for (at, part) in call.parts.iter().enumerate() {
+            if is_counted(at) {
+                let extra = self.extras.entry(part.service.clone()).or_default();
+                extra.request(now, window);
+            }
+        }
     }
 
     /// Returns the best upstream for each part.
@@ -272,6 +317,23 @@
     }
 }
 
+/// Returns the shards of a search that this instance asks, and the fewest that have to reply; `None`
+/// when there are no such shards.
+fn select(
+    services: Vec<ServiceName>,
+    least: usize,
+    branch: Option<&BranchHead>,
+) -> Option<(Vec<ServiceName>, usize)> {
+    let Some(branch) = branch else {
+        return Some((services, least));
+    };
+    let chosen = branch.shards.iter();
+    let chosen: Option<Vec<ServiceName>> = chosen
+        .map(|at| services.get(*at as usize).cloned())
+        .collect();
+    Some((chosen?, branch.least))
+}
+
 /// Returns whether a route asks several shards.
 pub(super) fn is_gather(config: &Config, route: usize) -> bool {
     matches!(config.route(route).target, Target::Gather(_))
--- a/crates/tier/src/tier/handed.rs
+++ b/crates/tier/src/tier/handed.rs
@@ -84,6 +84,7 @@
             version: call.config.version,
             is_return: call.is_return,
             is_repeat: call.may_have_run,
+            branch: None,
         }));
         call.handovers += 1;
         call.heard_by = now;
@@ -102,6 +103,9 @@
         end: Handed<C::Reply>,
         effects: &mut Vec<Effect<C>>,
     ) {
+        if let Some(to) = self.take_branch_back(id) {
+            return self.on_branch_ended(now, id, to, end, effects);
+        }
         let Some(to) = self.take_back(id) else {
             return;
         };
@@ -144,7 +148,7 @@
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
-        if let Some(to) = call.handed_to.clone() {
+        if let Some(to) = call.elsewhere().cloned() {
             call.heard_by = now;
             effects.push(Effect::Ping(to));
             self.timers.set(now + PING_TIMEOUT, Due::Silent(id));
@@ -156,20 +160,27 @@
         let Some(call) = self.calls.get(&id) else {
             return;
         };
-        let Some(to) = call.handed_to.clone() else {
+        let Some(to) = call.elsewhere().cloned() else {
             return;
         };
         if self.instances.is_heard_since(&to, call.heard_by) {
             return;
         }
+        let is_branch = call.handed_to.is_none();
         // The ends of all searches that it has follow from the end of its connection.
         effects.push(Effect::Disconnect(to.clone()));
+        if is_branch {
+            // Its data centre may be cut off, which each instance there would show only in time.
+            for other in self.instances.silent_beside(now, &to) {
+                self.rest_instance(now, other, effects);
+            }
+        }
         self.rest_instance(now, to, effects);
     }
 
     /// Stops waiting for the instance that a search was handed to.
     pub(super) fn withdraw(&mut self, id: CallId, call: &Call<C>, effects: &mut Vec<Effect<C>>) {
-        if let Some(to) = &call.handed_to {
+        if let Some(to) = call.elsewhere() {
             self.instances.ended(to);
             effects.push(Effect::Withdraw(id, to.clone()));
         }
@@ -196,7 +207,12 @@
         Some(to)
     }
 
-    fn rest_instance(&mut self, now: Time, name: InstanceName, effects: &mut Vec<Effect<C>>) {
+    pub(super) fn rest_instance(
+        &mut self,
+        now: Time,
+        name: InstanceName,
+        effects: &mut Vec<Effect<C>>,
+    ) {
         if self.instances.rest(now, &name) {
             effects.push(Effect::Note(Note::InstanceRests(name)));
         }
@@ -236,12 +252,15 @@
         call: Call<C>,
         effects: &mut Vec<Effect<C>>,
     ) {
-        let bound = self.bound();
         let most = call.config.route(call.route).max_attempts;
         let may_send = |part: &Part<C::Reply>| {
+            if !call.may_have_run {
+                return true;
+            }
+            let bound = self.bound(&part.service);
             let extra = self.extras.entry(part.service.clone()).or_default();
-            extra.request(now, &bound);
-            !call.may_have_run || most > 1 && extra.take(now, &bound)
+            extra.request(now, bound.window);
+            most > 1 && extra.take(now, &bound)
         };
         let allowed: Vec<bool> = call.parts.iter().map(may_send).collect();
         self.admit(now, id, call, &allowed, effects);
--- a/crates/tier/src/tier/learning.rs
+++ b/crates/tier/src/tier/learning.rs
@@ -54,6 +54,7 @@
         match outcome {
             Outcome::Reply(reply) => {
                 upstream.pace.add(now, took, usual);
+                upstream.turned_away.add(now, false);
                 upstream.replied_at = Some(now);
                 if reply.is_success() {
                     upstream.succeeded();
@@ -62,6 +63,7 @@
                 }
             }
             Outcome::Failed(Failure::NotRun) => {
+                upstream.turned_away.add(now, true);
                 upstream.is_full(now, FULL_REST);
                 upstream.pace.add(now, usual * FULL_SLOWER, usual);
             }
--- a/crates/tier/src/upstream.rs
+++ b/crates/tier/src/upstream.rs
@@ -37,6 +37,12 @@
 /// Failures in a row after which an upstream rests.
 const FAILURES_BEFORE_REST: u32 = 3;
 
+/// Pace up to which an upstream is sound; replicas differ by up to this much without any trouble.
+const SOUND_PACE: f64 = 2.5;
+
+/// Rate of lost or rejected requests up to which an upstream is sound; a single one in a while.
+const SOUND_RATE: f64 = 0.15;
+
 /// Shortest rest of an upstream that fails.
 const REST_MIN: Duration = Duration::from_millis(500);
 
@@ -52,6 +58,8 @@
     pub in_flight: Vec<(AttemptKey, Time)>,
     /// How often it loses answers.
     pub losses: Rate,
+    /// How often it turns requests away.
+    pub turned_away: Rate,
     /// How fast it is compared with the other upstreams of its requests.
     pub pace: Pace,
     /// Time until which it is slow after its start.
@@ -74,6 +82,7 @@
             entry,
             in_flight: Vec::new(),
             losses: Rate::default(),
+            turned_away: Rate::default(),
             pace: Pace::default(),
             rests_until: Time::ZERO,
             full_until: Time::ZERO,
@@ -88,6 +97,14 @@
         !self.entry.draining && self.rests_until <= now && self.full_until <= now
     }
 
+    /// Returns whether nothing is known against it, so that a short way to it is worth more than a
+    /// better balance.
+    pub fn is_sound(&self, now: Time) -> bool {
+        self.pace.get(now) < SOUND_PACE
+            && self.losses.get(now) < SOUND_RATE
+            && self.turned_away.get(now) < SOUND_RATE
+    }
+
     /// Returns whether it failed last, even if it is no longer passed over.
     pub fn is_failing(&self) -> bool {
         self.rests > 0
--- a/crates/tier/tests/decisions.rs
+++ b/crates/tier/tests/decisions.rs
@@ -74,7 +74,7 @@
         for (wait, requests) in steps {
             now = now + Duration::from_millis(u64::from(wait) * 20);
             for _ in 0..requests % 8 {
-                extra.request(now, &bound);
+                extra.request(now, bound.window);
                 asked.push(now);
             }
             while extra.take(now, &bound) {
@@ -101,7 +101,7 @@
         window: Duration::from_secs(10),
     };
     let mut extra = Extra::default();
-    extra.request(at(0), &bound);
+    extra.request(at(0), bound.window);
     assert!(extra.take(at(480), &bound));
     assert!(extra.take(at(480), &bound));
     assert!(!extra.take(at(10_200), &bound));
--- a/crates/tier/tests/handover.rs
+++ b/crates/tier/tests/handover.rs
@@ -119,6 +119,7 @@
             age: Duration::ZERO,
             digest: 1,
             origin,
+            branch: None,
         };
         self.on(Event::Call(CallId(id), head, ()))
     }
--- a/crates/tier/tests/main.rs
+++ b/crates/tier/tests/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
+mod branch;
 mod decisions;
 mod follow;
 mod handover;
--- a/crates/tier/tests/overload.rs
+++ b/crates/tier/tests/overload.rs
@@ -52,8 +52,9 @@
         run(&mut world, rate, Duration::from_secs(1));
         total.add(run(&mut world, rate, Duration::from_secs(8)));
     }
-    eprintln!("{total:?}");
-    total.credit / f64::from(total.asked)
+    let got = total.credit / f64::from(total.asked);
+    eprintln!("{:?} {got:.3} {total:?}", std::thread::current().name());
+    got
 }
 
 #[test]
@@ -62,6 +63,15 @@
     assert!(got > 0.95, "{got}");
 }
 
+/// Each data centre has replicas of half of the shards; of the requests to upstreams one in five
+/// comes from another one, as second attempts do.
+#[test]
+fn few_requests_cross_a_border() {
+    let mut world = warmed_up(1);
+    let tally = run(&mut world, RATE, Duration::from_secs(8));
+    assert!(tally.crossing * 5 < tally.arrivals, "{tally:?}");
+}
+
 /// Half as many callers again: each shard's four slots are busy for 0.9 of the time.
 #[test]
 fn a_burst_is_served() {
--- a/crates/tier/tests/world.rs
+++ b/crates/tier/tests/world.rs
@@ -15,8 +15,8 @@
 use bytes::Bytes;
 use rand::{Rng, rngs::SmallRng};
 use tier::{
-    Answer, AttemptKey, Config, Effect, Event, Failure, Handed, Head, Origin, Outcome, Tier,
-    config::Limits, effect::HandOver,
+    Answer, AttemptKey, Config, Effect, Event, Failure, Handed, Head, Origin, Outcome, ShortShard,
+    Tier, config::Limits, effect::HandOver,
 };
 
 pub(crate) use build::Plan;
@@ -32,6 +32,8 @@
     pub(crate) slots: usize,
     /// Requests that wait at the most; further ones are turned away.
     pub(crate) queue: usize,
+    /// Data centre.
+    centre: usize,
     /// Time until which it stands still.
     pub(crate) paused_until: Time,
     /// Part of its replies that are lost with their connection.
@@ -67,6 +69,8 @@
     pub(crate) credit: f64,
     /// Requests that reached upstreams.
     pub(crate) arrivals: u32,
+    /// Those of them that came from another data centre.
+    pub(crate) crossing: u32,
 }
 
 impl Tally {
@@ -81,6 +85,7 @@
         self.failed += other.failed;
         self.credit += other.credit;
         self.arrivals += other.arrivals;
+        self.crossing += other.crossing;
     }
 }
 
@@ -119,6 +124,7 @@
     names: BTreeMap<String, usize>,
     objective: Duration,
     returns: bool,
+    centres: usize,
     shards: usize,
     rng: SmallRng,
     tally: Tally,
@@ -133,7 +139,7 @@
     /// Searches that were handed over: calls of the running instance, and where they came from.
     handed: HashMap<(usize, CallId), Origins>,
     /// Answers on their way back.
-    ends: HashMap<(usize, CallId), Handed<SimReply>>,
+    ends: HashMap<(usize, CallId), (Handed<SimReply>, Vec<ShortShard>)>,
     /// Which instance has each search that was handed over.
     sent: HashMap<(usize, CallId), usize>,
     /// Searches on their way.
@@ -256,7 +262,8 @@
             Step::Handed(to, from, call) => self.take_handed(to, from, call),
             Step::Back(to, call) => {
                 self.sent.remove(&(to, call));
-                if let Some(end) = self.ends.remove(&(to, call)) {
+                if let Some((end, short)) = self.ends.remove(&(to, call)) {
+                    self.tell(to, Event::Short(call, short));
                     self.tell(to, Event::HandedOver(call, end));
                 }
             }
@@ -279,6 +286,7 @@
             age: Duration::ZERO,
             digest: 1,
             origin: Origin::Caller,
+            branch: None,
         };
         self.tell(instance, Event::Call(id, head, ()));
     }
@@ -302,6 +310,7 @@
             Effect::HandOver(_)
             | Effect::Withdraw(..)
             | Effect::Disconnect(_)
+            | Effect::Confirm(..)
             | Effect::Ping(_) => self.between(instance, effect),
             Effect::Cancel(attempt) => {
                 for upstream in 0..self.upstreams.len() {
@@ -336,14 +345,17 @@
             Answer::Refused(_, after) => *after,
             _ => Duration::ZERO,
         };
+        let (mut batch, mut short) = (Vec::new(), Vec::new());
         let end = match answer {
             Answer::Gathered(gathered) => {
-                End::Covered(gathered.signatures.len() as f64 / self.shards as f64)
+                (batch, short) = (gathered.signatures, gathered.short);
+                End::Covered(batch.len() as f64 / self.shards as f64)
             }
             Answer::Refused(..) => End::Refused,
             Answer::Declined => {
                 let (from, call) = self.handed.remove(&(instance, id)).unwrap();
-                self.ends.insert((from, call), Handed::Declined);
+                let end = (Handed::Declined, Vec::new());
+                self.ends.insert((from, call), end);
                 return self.plan(self.now + WAY, Step::Back(from, call));
             }
             Answer::Reply(reply) => reply.end.unwrap_or(End::Failed),
@@ -354,8 +366,10 @@
                 signature: String::new(),
                 body: Bytes::new(),
                 end: Some(end),
+                batch,
             };
-            self.ends.insert((from, call), Handed::Answer(reply));
+            self.ends
+                .insert((from, call), (Handed::Answer(reply), short));
             return self.plan(self.now + WAY, Step::Back(from, call));
         }
         let caller = self
@@ -398,6 +412,7 @@
             return;
         }
         self.tally.arrivals += 1;
+        self.tally.crossing += u32::from(it.centre != instance % self.centres);
         let is_shed = it.sheds > 0.0 && self.rng.random::<f64>() < it.sheds;
         if is_shed || it.waiting.len() >= it.queue {
             let outcome = Outcome::Failed(Failure::NotRun);
@@ -442,6 +457,7 @@
             signature: format!("{upstream}-{}", self.next_step),
             body: Bytes::from_static(&[7; 16]),
             end: None,
+            batch: Vec::new(),
         };
         self.tell(instance, Event::Ended(attempt, Outcome::Reply(reply)));
     }
--- a/crates/tier/tests/world/handed.rs
+++ b/crates/tier/tests/world/handed.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use base::{CallId, InstanceName};
-use tier::{Effect, Event, Handed, Head, Origin};
+use tier::{Effect, Event, Handed, Head, Origin, event::BranchHead};
 
 use super::{Sim, Step, WAY, World};
 
@@ -23,6 +23,7 @@
                 self.orders.insert((instance, order.call), order);
                 self.plan(self.now + WAY, step);
             }
+            Effect::Confirm(..) => {}
             Effect::Withdraw(call, _) => {
                 self.sent.remove(&(instance, call));
                 self.orders.remove(&(instance, call));
@@ -76,6 +77,12 @@
                 is_return: order.is_return,
                 is_repeat: order.is_repeat,
             },
+            branch: order.branch.map(|branch| BranchHead {
+                shards: branch.shards,
+                least: branch.least,
+                due: branch.soft_end.since(self.now),
+                is_confirmed: branch.is_confirmed,
+            }),
         };
         self.tell(from, Event::Heard(order.to));
         self.tell(to, Event::Call(id, head, ()));
--- a/crates/tier/tests/world/reply.rs
+++ b/crates/tier/tests/world/reply.rs
@@ -14,6 +14,8 @@
     pub(super) body: Bytes,
     /// What another instance came to, if it is an answer of one.
     pub(super) end: Option<End>,
+    /// Signatures of the parts that another instance has gathered.
+    pub(super) batch: Vec<Box<str>>,
 }
 
 /// What a search came to.
@@ -27,6 +29,18 @@
     Failed,
 }
 
+impl SimReply {
+    /// Makes the reply of another instance that has gathered parts.
+    pub(crate) fn gathered(batch: Vec<Box<str>>) -> Self {
+        Self {
+            signature: "own".to_owned(),
+            body: Bytes::from_static(&[7; 16]),
+            end: None,
+            batch,
+        }
+    }
+}
+
 impl Carried for Sim {
     type Request = ();
     type Reply = SimReply;
@@ -41,6 +55,10 @@
         Some(&self.signature)
     }
 
+    fn signatures(&self) -> Vec<Box<str>> {
+        self.batch.clone()
+    }
+
     fn body(&self) -> &Bytes {
         &self.body
     }
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -138,6 +138,37 @@
     /// Body.
     #[prost(bytes = "bytes", tag = "9")]
     pub body: Bytes,
+    /// The shards that are to be asked; all when there is none.
+    #[prost(message, optional, tag = "10")]
+    pub branch: Option<Branch>,
+}
+
+/// Shards of a search that the receiver is asked to ask.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Branch {
+    /// Positions in the index.
+    #[prost(uint32, repeated, tag = "1")]
+    pub shards: Vec<u32>,
+    /// Fewest of them that are worth an answer after it is due.
+    #[prost(uint32, tag = "2")]
+    pub least: u32,
+    /// Time until the answer is due, in microseconds.
+    #[prost(uint64, tag = "3")]
+    pub due_us: u64,
+    /// Whether second attempts may be sent before [`Said::Confirmed`].
+    #[prost(bool, tag = "4")]
+    pub is_confirmed: bool,
+}
+
+/// A shard that takes fewer than all searches.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Short {
+    /// Position in the index.
+    #[prost(uint32, tag = "1")]
+    pub shard: u32,
+    /// Share of searches that it takes.
+    #[prost(float, tag = "2")]
+    pub share: f32,
 }
 
 /// The end of a search that was run for another instance.
@@ -155,6 +186,9 @@
     /// Body of the answer.
     #[prost(bytes = "bytes", tag = "4")]
     pub body: Bytes,
+    /// Shards that are short of room, if only some were asked for.
+    #[prost(message, repeated, tag = "5")]
+    pub short: Vec<Short>,
 }
 
 /// One header.
