tier: refused callers return at the rate at which their route finishes requests

The gap now is the mean time between the requests that the instance has finished, the first place is after 0.4 s.

--- a/crates/tier/src/tier/answers.rs
+++ b/crates/tier/src/tier/answers.rs
@@ -41,6 +41,10 @@
             true,
             effects,
         );
+        if call.head.branch.is_none() {
+            let name = Rc::from(&*call.config.route(call.route).name);
+            self.route_state(&name).comeback.finished(now);
+        }
         self.abandon_all(now, &call);
         self.withdraw(id, &call, effects);
         let short = match call.head.branch {
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -20,14 +20,11 @@
 const NOT_READY_RETRY: Duration = Duration::from_millis(500);
 
 /// Time in which upstreams that are down or overloaded may have room again.
-const RECOVERY_GUESS: Duration = Duration::from_millis(250);
+const RECOVERY_GUESS: Duration = Duration::from_millis(400);
 
 /// Time since its first attempt from which a caller must have been refused before.
 const RETURN_AFTER: Duration = Duration::from_millis(30);
 
-/// Time between two returning callers of a route.
-const RETURN_GAP: Duration = Duration::from_millis(15);
-
 impl<C: Carried> Tier<C> {
     pub(super) fn on_call(
         &mut self,
@@ -297,7 +294,7 @@
         let after = self
             .route_state(&name)
             .comeback
-            .place(now, RECOVERY_GUESS, RETURN_GAP, left);
+            .place(now, RECOVERY_GUESS, left);
         self.note_ended(now, call, why.name(), false, effects);
         effects.push(Effect::Answer(id, Answer::Refused(why, after)));
     }
--- a/crates/tier/tests/world.rs
+++ b/crates/tier/tests/world.rs
@@ -187,6 +187,15 @@
         self.tally
     }
 
+    /// Has callers come in addition, all within a time from now on.
+    pub(crate) fn crowd(&mut self, callers: usize, within: Duration) {
+        for _ in 0..callers {
+            let at = self.now + within.mul_f64(self.rng.random());
+            let instance = self.rng.random_range(0..self.tiers.len());
+            self.plan(at, Step::Caller(instance));
+        }
+    }
+
     /// Puts a configuration without routes in force.
     pub(crate) fn configure_without_index(&mut self) {
         let config = Config::new(2, Vec::new(), HashMap::new(), Limits::default());
