tier, edge: branches in logs and metrics; tests share what they have in common

A branch has outcomes of its own, so that requests, times and parts are counted once, by the instance that took the search. What was told of services that are gone is forgotten with them.

--- a/crates/briarcove/src/edge/lines.rs
+++ b/crates/briarcove/src/edge/lines.rs
@@ -88,7 +88,10 @@
     }
 
     fn ended(&self, now: Time, ended: &Ended) {
-        let is_whole = matches!(ended.outcome, "answered" | "handed_over");
+        let is_whole = matches!(
+            ended.outcome,
+            "answered" | "handed_over" | "branch_answered"
+        );
         let is_sound = is_whole && !ended.late;
         if is_sound {
             self.sound.set(self.sound.get() + 1);
--- a/crates/briarcove/src/edge/metrics.rs
+++ b/crates/briarcove/src/edge/metrics.rs
@@ -117,11 +117,15 @@
 
     fn ended(&self, ended: &Ended) {
         self.requests.with_label_values(&[ended.outcome]).inc();
+        self.extra.inc_by(ended.extra as u64);
+        if ended.is_branch {
+            // The instance that took the search from its caller counts its time and its parts.
+            return;
+        }
         self.latency.observe(ended.took.as_secs_f64());
         self.parts_asked.inc_by(ended.asked as u64);
         self.parts_answered.inc_by(ended.answered as u64);
         self.parts_skipped.inc_by(ended.skipped as u64);
-        self.extra.inc_by(ended.extra as u64);
         self.late.inc_by(u64::from(ended.late));
     }
 
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -217,6 +217,8 @@
     pub late: bool,
     /// The instance that it was handed to, if any.
     pub via: Option<InstanceName>,
+    /// Whether it was shards that another instance had asked for.
+    pub is_branch: bool,
     /// The instance that asked shards far from here, if any.
     pub beside: Option<InstanceName>,
     /// What was seen of the upstreams that failed, were late or did not reply.
--- a/crates/tier/src/tier/answers.rs
+++ b/crates/tier/src/tier/answers.rs
@@ -34,13 +34,13 @@
             return;
         };
         let is_partial = call.progress().answered < call.parts.len();
-        self.note_ended(
-            now,
-            &mut call,
-            if is_partial { "partial" } else { "answered" },
-            true,
-            effects,
-        );
+        let outcome = match (call.head.branch.is_some(), is_partial) {
+            (false, false) => "answered",
+            (false, true) => "partial",
+            (true, false) => "branch_answered",
+            (true, true) => "branch_partial",
+        };
+        self.note_ended(now, &mut call, outcome, true, effects);
         if call.head.branch.is_none() {
             let name = Rc::from(&*call.config.route(call.route).name);
             self.route_state(&name).comeback.finished(now);
@@ -173,6 +173,7 @@
             extra: call.extra,
             late,
             via: call.via.clone(),
+            is_branch: call.head.branch.is_some(),
             beside: call.branch.as_ref().map(|branch| branch.to.clone()),
             trail,
         }))));
@@ -198,6 +199,7 @@
             extra: 0,
             late: false,
             via: None,
+            is_branch: false,
             beside: None,
             trail: Vec::new(),
         }))));
--- a/crates/tier/src/tier/news.rs
+++ b/crates/tier/src/tier/news.rs
@@ -32,6 +32,7 @@
         self.routes.retain(|name, _| names.contains(&**name));
         self.extras.retain(|name, _| config.service(name).is_some());
         self.valves.retain(|name, _| config.service(name).is_some());
+        self.told.retain(|name, _| config.service(name).is_some());
         effects.push(Effect::Note(Note::ConfigInForce {
             version: config.version,
             routes: config.routes().len(),
--- a/crates/tier/tests/branch.rs
+++ b/crates/tier/tests/branch.rs
@@ -2,16 +2,19 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
-use base::{CallId, ServiceName, Time};
+use base::{CallId, ServiceName};
 use tier::{
-    Answer, AttemptKey, Config, Effect, Entry, Event, Failure, Handed, Head, Instance, Origin,
-    Outcome, Route, Settings, ShortShard, Target, Tier,
+    Answer, AttemptKey, Config, Effect, Entry, Event, Failure, Handed, Instance, Origin, Outcome,
+    Route, Settings, ShortShard, Target,
     config::{Gather, Limits, Service},
-    effect::{Gathered, HandOver},
+    effect::Gathered,
     event::BranchHead,
 };
 
-use crate::world::{Sim, SimReply};
+use crate::{
+    one::{One, order, sent},
+    world::{Sim, SimReply},
+};
 
 /// Half of the shards have replicas here and in a third data centre, half only elsewhere.
 const SHARDS: usize = 12;
@@ -71,82 +74,47 @@
     (0..SHARDS * 2).map(entry).collect()
 }
 
-/// An instance here, with two others there.
-struct One {
-    tier: Tier<Sim>,
-    now: Time,
+/// Makes an instance, with two others there.
+fn one(name: &str, centre: &str) -> One {
+    let settings = Settings {
+        instance: name.into(),
+        data_centre: centre.into(),
+        power: 0.2,
+        ..Settings::default()
+    };
+    let mut one = One::new(settings, OBJECTIVE * 10);
+    one.on(Event::Config(config()));
+    one.on(Event::Listed(entries()));
+    let all = [("own", "here"), ("there-1", "there"), ("there-2", "there")];
+    let all = all.iter().map(|(name, centre)| Instance {
+        name: name.parse().unwrap(),
+        address: "10.0.0.1:1".parse().unwrap(),
+        data_centre: centre.parse().unwrap(),
+        power: 0.2,
+    });
+    one.on(Event::Instances(all.collect()));
+    one
 }
 
-impl One {
-    fn new(name: &str, centre: &str) -> Self {
-        let settings = Settings {
-            instance: name.into(),
-            data_centre: centre.into(),
-            power: 0.2,
-            ..Settings::default()
-        };
-        let mut one = Self {
-            tier: Tier::new(settings, 1),
-            now: Time::ZERO,
-        };
-        one.on(Event::Config(config()));
-        one.on(Event::Listed(entries()));
-        let all = [("own", "here"), ("there-1", "there"), ("there-2", "there")];
-        let all = all.iter().map(|(name, centre)| Instance {
-            name: name.parse().unwrap(),
-            address: "10.0.0.1:1".parse().unwrap(),
-            data_centre: centre.parse().unwrap(),
-            power: 0.2,
-        });
-        one.on(Event::Instances(all.collect()));
-        one
-    }
-
-    fn on(&mut self, event: Event<Sim>) -> Vec<Effect<Sim>> {
-        let mut effects = Vec::new();
-        self.tier.on(self.now, event, &mut effects);
-        effects
-    }
-
-    fn after(&mut self, time: Duration) -> Vec<Effect<Sim>> {
-        self.now = self.now + time;
-        self.on(Event::Tick)
-    }
-
-    fn call(&mut self, id: u64, branch: Option<BranchHead>) -> Vec<Effect<Sim>> {
-        let head = Head {
-            id: "a1".into(),
-            host: "search.example".into(),
-            path: "/x".into(),
-            left: Some(OBJECTIVE * 10),
-            age: Duration::ZERO,
-            digest: 1,
-            origin: match branch {
-                None => Origin::Caller,
-                Some(_) => Origin::Instance {
-                    version: 1,
-                    is_return: false,
-                    is_repeat: false,
-                },
-            },
-            branch,
-        };
-        self.on(Event::Call(CallId(id), head, ()))
-    }
-
-    /// Has each of these attempts end with a reply.
-    fn reply(&mut self, attempts: &[AttemptKey]) -> Vec<Effect<Sim>> {
-        let mut effects = Vec::new();
-        for attempt in attempts {
-            let outcome = Outcome::Reply(reply(&[]));
-            effects.extend(self.on(Event::Ended(*attempt, outcome)));
-        }
-        effects
+/// Has each of these attempts end with a reply.
+fn reply_to(one: &mut One, attempts: &[AttemptKey]) -> Vec<Effect<Sim>> {
+    let mut effects = Vec::new();
+    for attempt in attempts {
+        let outcome = Outcome::Reply(reply(&[]));
+        effects.extend(one.on(Event::Ended(*attempt, outcome)));
     }
+    effects
 }
 
+/// Whoever gives shards to another instance.
+const GIVEN: Origin = Origin::Instance {
+    version: 1,
+    is_return: false,
+    is_repeat: false,
+};
+
 fn own() -> One {
-    One::new("own", "here")
+    one("own", "here")
 }
 
 fn reply(batch: &[&str]) -> SimReply {
@@ -158,21 +126,6 @@
     )
 }
 
-fn order(effects: &[Effect<Sim>]) -> Option<&HandOver<()>> {
-    effects.iter().find_map(|effect| match effect {
-        Effect::HandOver(order) => Some(order),
-        _ => None,
-    })
-}
-
-fn sent(effects: &[Effect<Sim>]) -> Vec<AttemptKey> {
-    let sent = effects.iter().filter_map(|effect| match effect {
-        Effect::Send(send) => Some(send.attempt),
-        _ => None,
-    });
-    sent.collect()
-}
-
 fn answer(effects: &[Effect<Sim>]) -> Option<&Answer<SimReply>> {
     effects.iter().find_map(|effect| match effect {
         Effect::Answer(_, answer) => Some(answer),
@@ -192,13 +145,13 @@
 #[test]
 fn shards_without_a_replica_here_are_given_to_an_instance_beside_them() {
     let mut one = own();
-    let effects = one.call(1, None);
+    let effects = one.call(1, Origin::Caller, None);
     let near = sent(&effects);
     let branch = order(&effects).unwrap().branch.as_ref().unwrap();
     assert_eq!(*branch.shards, [6, 7, 8, 9, 10, 11]);
     assert_eq!(branch.least, 4);
     assert_eq!(near.len(), 6);
-    assert!(answer(&one.reply(&near)).is_none());
+    assert!(answer(&reply_to(&mut one, &near)).is_none());
     let effects = one.on(Event::HandedOver(CallId(1), Handed::Answer(reply(&BATCH))));
     let gathered = gathered(&effects);
     assert_eq!((gathered.signatures.len(), gathered.missing), (12, 0));
@@ -207,8 +160,8 @@
 #[test]
 fn an_answer_counts_what_the_other_instance_has_not_got() {
     let mut one = own();
-    let near = sent(&one.call(1, None));
-    one.reply(&near);
+    let near = sent(&one.call(1, Origin::Caller, None));
+    reply_to(&mut one, &near);
     let effects = one.on(Event::HandedOver(
         CallId(1),
         Handed::Answer(reply(&BATCH[..4])),
@@ -220,8 +173,8 @@
 #[test]
 fn a_search_with_too_few_parts_of_both_fails() {
     let mut one = own();
-    let near = sent(&one.call(1, None));
-    one.reply(&near);
+    let near = sent(&one.call(1, Origin::Caller, None));
+    reply_to(&mut one, &near);
     let effects = one.on(Event::HandedOver(
         CallId(1),
         Handed::Answer(reply(&BATCH[..3])),
@@ -232,12 +185,12 @@
 #[test]
 fn shards_that_the_other_instance_does_not_take_are_asked_from_here() {
     let mut one = own();
-    let near = sent(&one.call(1, None));
+    let near = sent(&one.call(1, Origin::Caller, None));
     let effects = one.on(Event::HandedOver(CallId(1), Handed::Declined));
     let far = sent(&effects);
     assert_eq!((near.len(), far.len()), (6, 6));
-    one.reply(&near);
-    let effects = one.reply(&far);
+    reply_to(&mut one, &near);
+    let effects = reply_to(&mut one, &far);
     assert_eq!(gathered(&effects).signatures.len(), 12);
 }
 
@@ -245,8 +198,8 @@
 #[test]
 fn shards_that_were_lost_with_the_other_instance_are_not_asked_again() {
     let mut one = own();
-    let near = sent(&one.call(1, None));
-    one.reply(&near);
+    let near = sent(&one.call(1, Origin::Caller, None));
+    reply_to(&mut one, &near);
     let effects = one.on(Event::HandedOver(CallId(1), Handed::Broken));
     assert!(sent(&effects).is_empty());
     assert!(matches!(answer(&effects), Some(Answer::Failed(_))));
@@ -255,7 +208,10 @@
 #[test]
 fn a_caller_that_has_gone_ends_the_work_elsewhere() {
     let mut one = own();
-    let to = order(&one.call(1, None)).unwrap().to.clone();
+    let to = order(&one.call(1, Origin::Caller, None))
+        .unwrap()
+        .to
+        .clone();
     let effects = one.on(Event::CallerGone(CallId(1)));
     let told = |e: &Effect<Sim>| matches!(e, Effect::Withdraw(CallId(1), name) if *name == to);
     assert!(effects.iter().any(told), "{effects:?}");
@@ -265,7 +221,10 @@
 #[test]
 fn nobody_in_the_data_centre_of_a_silent_instance_is_asked() {
     let mut one = own();
-    let to = order(&one.call(1, None)).unwrap().to.clone();
+    let to = order(&one.call(1, Origin::Caller, None))
+        .unwrap()
+        .to
+        .clone();
     let effects = one.after(Duration::from_millis(130));
     let pinged = |e: &Effect<Sim>| matches!(e, Effect::Ping(name) if *name == to);
     assert!(effects.iter().any(pinged), "{effects:?}");
@@ -273,7 +232,7 @@
     let left = |e: &Effect<Sim>| matches!(e, Effect::Disconnect(name) if *name == to);
     assert!(effects.iter().any(left), "{effects:?}");
     one.on(Event::HandedOver(CallId(1), Handed::Broken));
-    let effects = one.call(2, None);
+    let effects = one.call(2, Origin::Caller, None);
     assert!(order(&effects).is_none());
     assert_eq!(sent(&effects).len(), SHARDS);
 }
@@ -281,7 +240,10 @@
 #[test]
 fn an_instance_that_is_alive_is_waited_for() {
     let mut one = own();
-    let to = order(&one.call(1, None)).unwrap().to.clone();
+    let to = order(&one.call(1, Origin::Caller, None))
+        .unwrap()
+        .to
+        .clone();
     one.after(Duration::from_millis(130));
     one.on(Event::Heard(to));
     let effects = one.after(Duration::from_millis(130));
@@ -297,12 +259,12 @@
 fn shards_that_are_short_elsewhere_are_left_out_or_refused_here() {
     for (down, is_refused) in [(2, false), (3, true)] {
         let mut one = own();
-        let near = sent(&one.call(1, None));
-        one.reply(&near);
+        let near = sent(&one.call(1, Origin::Caller, None));
+        reply_to(&mut one, &near);
         let short = (6..6 + down).map(|shard| ShortShard { shard, share: 0.0 });
         one.on(Event::Short(CallId(1), short.collect()));
         one.on(Event::HandedOver(CallId(1), Handed::Answer(reply(&BATCH))));
-        let effects = one.call(2, None);
+        let effects = one.call(2, Origin::Caller, None);
         if is_refused {
             assert!(sent(&effects).is_empty());
             assert!(matches!(answer(&effects), Some(Answer::Refused(..))));
@@ -317,13 +279,13 @@
 #[test]
 fn shards_that_were_short_are_asked_again() {
     let mut one = own();
-    let near = sent(&one.call(1, None));
-    one.reply(&near);
+    let near = sent(&one.call(1, Origin::Caller, None));
+    reply_to(&mut one, &near);
     let short = (6..12).map(|shard| ShortShard { shard, share: 0.0 });
     one.on(Event::Short(CallId(1), short.collect()));
     one.on(Event::HandedOver(CallId(1), Handed::Answer(reply(&BATCH))));
     one.now = one.now + Duration::from_secs(8);
-    let asked = (2..12).filter(|id| order(&one.call(*id, None)).is_some());
+    let asked = (2..12).filter(|id| order(&one.call(*id, Origin::Caller, None)).is_some());
     assert!(asked.count() > 5);
 }
 
@@ -338,12 +300,12 @@
 
 #[test]
 fn an_instance_asks_just_the_shards_that_it_was_given() {
-    let mut one = One::new("there-1", "there");
-    let effects = one.call(1, of_another(&[6, 7, 8, 9, 10, 11], true));
+    let mut one = one("there-1", "there");
+    let effects = one.call(1, GIVEN, of_another(&[6, 7, 8, 9, 10, 11], true));
     assert!(order(&effects).is_none());
     let far = sent(&effects);
     assert_eq!(far.len(), 6);
-    one.reply(&far[..5]);
+    reply_to(&mut one, &far[..5]);
     assert!(answer(&one.after(Duration::from_millis(100))).is_none());
     let effects = one.after(Duration::from_millis(85));
     assert_eq!(gathered(&effects).signatures.len(), 5);
@@ -351,14 +313,14 @@
 
 #[test]
 fn an_instance_tells_which_shards_are_short() {
-    let mut one = One::new("there-1", "there");
+    let mut one = one("there-1", "there");
     let gone = [12, 13].map(|i| Event::Removed(format!("up-{i}").parse().unwrap()));
     for event in gone {
         one.on(event);
     }
-    let far = sent(&one.call(1, of_another(&[6, 7, 8], true)));
+    let far = sent(&one.call(1, GIVEN, of_another(&[6, 7, 8], true)));
     assert_eq!(far.len(), 2);
-    let effects = one.reply(&far);
+    let effects = reply_to(&mut one, &far);
     let gathered = gathered(&effects);
     assert_eq!(gathered.signatures.len(), 2);
     let short = gathered.short.iter().find(|short| short.shard == 6);
@@ -368,8 +330,8 @@
 /// Whoever gave the shards decides what is worth an answer.
 #[test]
 fn an_instance_that_gets_nothing_says_so() {
-    let mut one = One::new("there-1", "there");
-    let far = sent(&one.call(1, of_another(&[6, 7, 8, 9], false)));
+    let mut one = one("there-1", "there");
+    let far = sent(&one.call(1, GIVEN, of_another(&[6, 7, 8, 9], false)));
     let mut effects = Vec::new();
     for attempt in far {
         let broken = Outcome::Failed(Failure::Broken);
@@ -381,8 +343,8 @@
 #[test]
 fn second_attempts_wait_until_a_caller_is_known_to_wait() {
     for (is_confirmed, again) in [(true, 1), (false, 0)] {
-        let mut one = One::new("there-1", "there");
-        let far = sent(&one.call(1, of_another(&[6, 7, 8, 9], is_confirmed)));
+        let mut one = one("there-1", "there");
+        let far = sent(&one.call(1, GIVEN, of_another(&[6, 7, 8, 9], is_confirmed)));
         let broken = Outcome::Failed(Failure::Broken);
         let effects = one.on(Event::Ended(far[0], broken));
         assert_eq!(sent(&effects).len(), again);
@@ -391,7 +353,7 @@
 
 #[test]
 fn an_instance_declines_shards_that_do_not_exist() {
-    let mut one = One::new("there-1", "there");
-    let effects = one.call(1, of_another(&[6, 7, 8, 12], true));
+    let mut one = one("there-1", "there");
+    let effects = one.call(1, GIVEN, of_another(&[6, 7, 8, 12], true));
     assert!(matches!(answer(&effects), Some(Answer::Declined)));
 }
--- a/crates/tier/tests/handover.rs
+++ b/crates/tier/tests/handover.rs
@@ -2,14 +2,17 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
-use base::{CallId, InstanceName, ServiceName, Time};
+use base::{CallId, InstanceName, ServiceName};
 use tier::{
-    Answer, AttemptKey, Config, Effect, Entry, Event, Failure, Handed, Head, Instance, Origin,
-    Outcome, Route, Settings, Target, Tier,
+    Answer, Config, Effect, Entry, Event, Failure, Handed, Instance, Origin, Outcome, Route,
+    Settings, Target,
     config::{Gather, Limits, Service},
 };
 
-use crate::world::Sim;
+use crate::{
+    one::{One, order, sent},
+    world::Sim,
+};
 
 const SHARDS: usize = 40;
 
@@ -73,75 +76,29 @@
     }
 }
 
-/// An instance among one small and two large ones.
-struct One {
-    tier: Tier<Sim>,
-    now: Time,
-}
-
-impl One {
-    fn new(name: &str, power: f64) -> Self {
-        let settings = Settings {
-            instance: name.into(),
-            data_centre: "here".into(),
-            power,
-            ..Settings::default()
-        };
-        let mut one = Self {
-            tier: Tier::new(settings, 1),
-            now: Time::ZERO,
-        };
-        one.on(Event::Config(config(1)));
-        one.on(Event::Listed(entries()));
-        let all = [("small", 0.084), ("large-1", 0.5), ("large-2", 0.5)];
-        let all = all.iter().map(|(name, power)| instance(name, *power));
-        one.on(Event::Instances(all.collect()));
-        one
-    }
-
-    fn on(&mut self, event: Event<Sim>) -> Vec<Effect<Sim>> {
-        let mut effects = Vec::new();
-        self.tier.on(self.now, event, &mut effects);
-        effects
-    }
-
-    fn after(&mut self, time: Duration) -> Vec<Effect<Sim>> {
-        self.now = self.now + time;
-        self.on(Event::Tick)
-    }
-
-    fn call(&mut self, id: u64, origin: Origin) -> Vec<Effect<Sim>> {
-        let head = Head {
-            id: "a1".into(),
-            host: "search.example".into(),
-            path: "/x".into(),
-            left: Some(Duration::from_millis(1_200)),
-            age: Duration::ZERO,
-            digest: 1,
-            origin,
-            branch: None,
-        };
-        self.on(Event::Call(CallId(id), head, ()))
-    }
+/// Makes an instance among one small and two large ones.
+fn one(name: &str, power: f64) -> One {
+    let settings = Settings {
+        instance: name.into(),
+        data_centre: "here".into(),
+        power,
+        ..Settings::default()
+    };
+    let mut one = One::new(settings, Duration::from_millis(1_200));
+    one.on(Event::Config(config(1)));
+    one.on(Event::Listed(entries()));
+    let all = [("small", 0.084), ("large-1", 0.5), ("large-2", 0.5)];
+    let all = all.iter().map(|(name, power)| instance(name, *power));
+    one.on(Event::Instances(all.collect()));
+    one
 }
 
 fn small() -> One {
-    One::new("small", 0.084)
+    one("small", 0.084)
 }
 
 fn handed_to(effects: &[Effect<Sim>]) -> Option<InstanceName> {
-    effects.iter().find_map(|effect| match effect {
-        Effect::HandOver(order) => Some(order.to.clone()),
-        _ => None,
-    })
-}
-
-fn sent(effects: &[Effect<Sim>]) -> Vec<AttemptKey> {
-    let sent = effects.iter().filter_map(|effect| match effect {
-        Effect::Send(send) => Some(send.attempt),
-        _ => None,
-    });
-    sent.collect()
+    order(effects).map(|order| order.to.clone())
 }
 
 fn answers(effects: &[Effect<Sim>]) -> Vec<&Answer<crate::world::SimReply>> {
@@ -162,8 +119,8 @@
 
 #[test]
 fn a_large_instance_runs_its_searches_itself() {
-    let mut one = One::new("large-1", 0.5);
-    let effects = one.call(1, Origin::Caller);
+    let mut one = one("large-1", 0.5);
+    let effects = one.call(1, Origin::Caller, None);
     assert_eq!(handed_to(&effects), None);
     assert_eq!(sent(&effects).len(), SHARDS);
 }
@@ -171,32 +128,35 @@
 #[test]
 fn a_search_that_was_handed_over_is_not_handed_on() {
     let mut one = small();
-    let effects = one.call(1, of_instance(1, false));
+    let effects = one.call(1, of_instance(1, false), None);
     assert_eq!(handed_to(&effects), None);
     assert_eq!(sent(&effects).len(), SHARDS);
 }
 
 #[test]
 fn a_search_is_run_by_the_configuration_of_the_instance_that_took_it() {
-    let mut one = One::new("large-1", 0.5);
+    let mut one = one("large-1", 0.5);
     one.on(Event::Config(config(2)));
-    assert_eq!(sent(&one.call(1, of_instance(1, false))).len(), SHARDS);
-    let effects = one.call(2, of_instance(3, false));
+    assert_eq!(
+        sent(&one.call(1, of_instance(1, false), None)).len(),
+        SHARDS
+    );
+    let effects = one.call(2, of_instance(3, false), None);
     assert!(matches!(answers(&effects)[..], [Answer::Declined]));
 }
 
 #[test]
 fn a_draining_instance_declines() {
-    let mut one = One::new("large-1", 0.5);
+    let mut one = one("large-1", 0.5);
     one.on(Event::Drain);
-    let effects = one.call(1, of_instance(1, false));
+    let effects = one.call(1, of_instance(1, false), None);
     assert!(matches!(answers(&effects)[..], [Answer::Declined]));
 }
 
 #[test]
 fn a_declined_search_goes_to_another_instance_and_then_stays() {
     let mut one = small();
-    let first = handed_to(&one.call(1, Origin::Caller)).unwrap();
+    let first = handed_to(&one.call(1, Origin::Caller, None)).unwrap();
     let effects = one.on(Event::HandedOver(CallId(1), Handed::Declined));
     let second = handed_to(&effects).unwrap();
     assert_ne!(first, second);
@@ -209,8 +169,8 @@
 #[test]
 fn a_part_of_a_repeated_search_has_one_attempt_less() {
     for (is_repeat, again) in [(false, 1), (true, 0)] {
-        let mut one = One::new("large-1", 0.5);
-        let first = sent(&one.call(1, of_instance(1, is_repeat)));
+        let mut one = one("large-1", 0.5);
+        let first = sent(&one.call(1, of_instance(1, is_repeat), None));
         one.on(Event::Confirmed(CallId(1)));
         let broken = Outcome::Failed(Failure::Broken);
         let effects = one.on(Event::Ended(first[0], broken));
@@ -221,8 +181,8 @@
 /// Whoever handed it over may have had it run elsewhere meanwhile, until it says that it waits.
 #[test]
 fn a_search_that_is_not_confirmed_has_no_second_attempts() {
-    let mut one = One::new("large-1", 0.5);
-    let first = sent(&one.call(1, of_instance(1, false)));
+    let mut one = one("large-1", 0.5);
+    let first = sent(&one.call(1, of_instance(1, false), None));
     let effects = one.after(Duration::from_millis(60));
     assert!(sent(&effects).is_empty());
     let broken = Outcome::Failed(Failure::Broken);
@@ -234,7 +194,7 @@
 #[test]
 fn a_search_that_was_taken_and_broke_off_is_not_run_again() {
     let mut one = small();
-    let to = handed_to(&one.call(1, Origin::Caller)).unwrap();
+    let to = handed_to(&one.call(1, Origin::Caller, None)).unwrap();
     one.now = one.now + Duration::from_millis(5);
     one.on(Event::Heard(to));
     let effects = one.on(Event::HandedOver(CallId(1), Handed::Broken));
@@ -245,7 +205,7 @@
 #[test]
 fn an_instance_that_does_not_take_a_search_is_left() {
     let mut one = small();
-    let to = handed_to(&one.call(1, Origin::Caller)).unwrap();
+    let to = handed_to(&one.call(1, Origin::Caller, None)).unwrap();
     let effects = one.after(Duration::from_millis(100));
     let left = effects
         .iter()
@@ -254,7 +214,7 @@
     let effects = one.on(Event::HandedOver(CallId(1), Handed::Broken));
     assert_ne!(handed_to(&effects).unwrap(), to);
     // The next search does not try it either.
-    assert_ne!(handed_to(&one.call(2, Origin::Caller)).unwrap(), to);
+    assert_ne!(handed_to(&one.call(2, Origin::Caller, None)).unwrap(), to);
 }
 
 /// Two instances that did not say in time that they run it may both have begun, with an attempt of
@@ -262,7 +222,7 @@
 #[test]
 fn a_search_that_two_instances_did_not_take_is_not_run_again() {
     let mut one = small();
-    handed_to(&one.call(1, Origin::Caller)).unwrap();
+    handed_to(&one.call(1, Origin::Caller, None)).unwrap();
     one.after(Duration::from_millis(100));
     let effects = one.on(Event::HandedOver(CallId(1), Handed::Broken));
     handed_to(&effects).unwrap();
@@ -278,7 +238,7 @@
 #[test]
 fn a_caller_that_has_gone_ends_the_search_elsewhere() {
     let mut one = small();
-    let to = handed_to(&one.call(1, Origin::Caller)).unwrap();
+    let to = handed_to(&one.call(1, Origin::Caller, None)).unwrap();
     let effects = one.on(Event::CallerGone(CallId(1)));
     let told = effects
         .iter()
@@ -289,7 +249,7 @@
 #[test]
 fn a_search_without_an_answer_ends_at_its_deadline() {
     let mut one = small();
-    let to = handed_to(&one.call(1, Origin::Caller)).unwrap();
+    let to = handed_to(&one.call(1, Origin::Caller, None)).unwrap();
     one.on(Event::Heard(to.clone()));
     one.after(Duration::from_millis(500));
     one.on(Event::Heard(to));
@@ -321,13 +281,13 @@
         })
         .collect();
     for id in 0..10 {
-        let to = handed_to(&one.call(100 + id, Origin::Caller)).unwrap();
+        let to = handed_to(&one.call(100 + id, Origin::Caller, None)).unwrap();
         assert_eq!(to.as_str(), "large-1");
         one.on(Event::CallerGone(CallId(100 + id)));
     }
     one.on(Event::Listed(moved));
     for id in 0..10 {
-        let to = handed_to(&one.call(200 + id, Origin::Caller)).unwrap();
+        let to = handed_to(&one.call(200 + id, Origin::Caller, None)).unwrap();
         assert_eq!(to.as_str(), "large-far");
         one.on(Event::CallerGone(CallId(200 + id)));
     }
--- a/crates/tier/tests/main.rs
+++ b/crates/tier/tests/main.rs
@@ -7,5 +7,6 @@
 mod follow;
 mod handover;
 mod load;
+mod one;
 mod overload;
 mod world;
--- /dev/null
+++ b/crates/tier/tests/one.rs
@@ -0,0 +1,75 @@
+//! One instance, and what it does after each event.
+
+use std::time::Duration;
+
+use base::{CallId, Time};
+use tier::{
+    AttemptKey, Effect, Event, Head, Origin, Settings, Tier, effect::HandOver, event::BranchHead,
+};
+
+use crate::world::Sim;
+
+/// An instance on a clock of its own.
+pub(crate) struct One {
+    tier: Tier<Sim>,
+    pub(crate) now: Time,
+    /// Time that callers wait.
+    left: Duration,
+}
+
+impl One {
+    pub(crate) fn new(settings: Settings, left: Duration) -> Self {
+        Self {
+            tier: Tier::new(settings, 1),
+            now: Time::ZERO,
+            left,
+        }
+    }
+
+    pub(crate) fn on(&mut self, event: Event<Sim>) -> Vec<Effect<Sim>> {
+        let mut effects = Vec::new();
+        self.tier.on(self.now, event, &mut effects);
+        effects
+    }
+
+    pub(crate) fn after(&mut self, time: Duration) -> Vec<Effect<Sim>> {
+        self.now = self.now + time;
+        self.on(Event::Tick)
+    }
+
+    pub(crate) fn call(
+        &mut self,
+        id: u64,
+        origin: Origin,
+        branch: Option<BranchHead>,
+    ) -> Vec<Effect<Sim>> {
+        let head = Head {
+            id: "a1".into(),
+            host: "search.example".into(),
+            path: "/x".into(),
+            left: Some(self.left),
+            age: Duration::ZERO,
+            digest: 1,
+            origin,
+            branch,
+        };
+        self.on(Event::Call(CallId(id), head, ()))
+    }
+}
+
+/// Returns what is handed to another instance.
+pub(crate) fn order(effects: &[Effect<Sim>]) -> Option<&HandOver<()>> {
+    effects.iter().find_map(|effect| match effect {
+        Effect::HandOver(order) => Some(order),
+        _ => None,
+    })
+}
+
+/// Returns the attempts that are sent.
+pub(crate) fn sent(effects: &[Effect<Sim>]) -> Vec<AttemptKey> {
+    let sent = effects.iter().filter_map(|effect| match effect {
+        Effect::Send(send) => Some(send.attempt),
+        _ => None,
+    });
+    sent.collect()
+}
--- a/crates/tier/tests/world.rs
+++ b/crates/tier/tests/world.rs
@@ -1,13 +1,14 @@
 //! Instances, upstreams with slots and queues, and callers on one simulated clock.
 
 mod build;
+mod events;
 mod handed;
 mod reply;
+mod tally;
 
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap, VecDeque},
-    rc::Rc,
     time::Duration,
 };
 
@@ -15,13 +16,15 @@
 use bytes::Bytes;
 use rand::{Rng, rngs::SmallRng};
 use tier::{
-    Answer, AttemptKey, Config, Effect, Event, Failure, Handed, Head, Origin, Outcome, ShortShard,
-    Tier, config::Limits, effect::HandOver,
+    Answer, AttemptKey, Effect, Event, Failure, Handed, Head, Origin, Outcome, ShortShard, Tier,
+    effect::HandOver,
 };
 
 pub(crate) use build::Plan;
 use reply::End;
 pub(crate) use reply::{Sim, SimReply};
+use tally::Caller;
+pub(crate) use tally::Tally;
 
 /// One upstream.
 #[derive(Debug)]
@@ -48,47 +51,6 @@
     running: Vec<(usize, AttemptKey)>,
 }
 
-/// What callers got.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Tally {
-    /// Requests.
-    pub(crate) asked: u32,
-    /// Successes within the objective.
-    pub(crate) in_time: u32,
-    /// Successes after it.
-    pub(crate) late: u32,
-    /// Refusals of callers that asked for the first time.
-    pub(crate) refused: u32,
-    /// Refusals of callers that came back.
-    pub(crate) refused_again: u32,
-    /// Successes of callers that came back, within the objective from then on.
-    pub(crate) returned: u32,
-    /// Failures.
-    pub(crate) failed: u32,
-    /// Sum of the squared coverage of successes in time; half counts for callers that came back.
-    pub(crate) credit: f64,
-    /// Requests that reached upstreams.
-    pub(crate) arrivals: u32,
-    /// Those of them that came from another data centre.
-    pub(crate) crossing: u32,
-}
-
-impl Tally {
-    /// Adds what callers got at another time.
-    pub(crate) fn add(&mut self, other: Self) {
-        self.asked += other.asked;
-        self.in_time += other.in_time;
-        self.late += other.late;
-        self.refused += other.refused;
-        self.refused_again += other.refused_again;
-        self.returned += other.returned;
-        self.failed += other.failed;
-        self.credit += other.credit;
-        self.arrivals += other.arrivals;
-        self.crossing += other.crossing;
-    }
-}
-
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Step {
     Caller(usize),
@@ -146,18 +108,6 @@
     orders: HashMap<(usize, CallId), HandOver<()>>,
 }
 
-/// A caller that waits.
-#[derive(Clone, Copy, Debug)]
-struct Caller {
-    /// When it asked for the first time.
-    first: Time,
-    /// When it asked last.
-    asked: Time,
-}
-
-/// Credit of an answer in time after a refusal: the mean of full credit and that of a late answer.
-const RETURN_CREDIT: f64 = 0.55;
-
 /// Where a search that was handed over came from.
 type Origins = (usize, CallId);
 
@@ -196,37 +146,6 @@
         }
     }
 
-    /// Puts a configuration without routes in force.
-    pub(crate) fn configure_without_index(&mut self) {
-        let config = Config::new(2, Vec::new(), HashMap::new(), Limits::default());
-        let config = Rc::new(config);
-        for instance in 0..self.tiers.len() {
-            self.tell(instance, Event::Config(Rc::clone(&config)));
-        }
-    }
-
-    /// Returns the number of instances that are ready.
-    pub(crate) fn ready(&self) -> usize {
-        self.tiers.iter().filter(|tier| tier.is_ready()).count()
-    }
-
-    /// Has an upstream stand still for a time.
-    pub(crate) fn pause(&mut self, upstream: usize, time: Duration) {
-        self.upstreams[upstream].paused_until = self.now + time;
-        self.plan(self.now + time, Step::Resume(upstream));
-    }
-
-    /// Has each upstream stand still now and then from now on, as often as `every` says.
-    pub(crate) fn plan_pauses(&mut self, time: Duration, every: Duration, length: Duration) {
-        for upstream in 0..self.upstreams.len() {
-            let mut after = every.mul_f64(self.rng.random());
-            while after < time {
-                self.plan(self.now + after, Step::Pause(upstream, length));
-                after += every;
-            }
-        }
-    }
-
     fn next_time(&mut self) -> Option<Time> {
         let step = self.steps.peek().map(|Reverse((at, ..))| *at);
         let wakes = self.tiers.iter_mut().filter_map(Tier::next_wake);
@@ -385,32 +304,14 @@
             .calls
             .remove(&(instance, id))
             .expect("each call is answered once");
-        self.count(caller, end);
+        let (now, objective) = (self.now, self.objective);
+        self.tally.count(now, objective, caller, end);
         if self.returns && matches!(end, End::Refused) && caller.first == caller.asked {
             let other = self.rng.random_range(0..self.tiers.len());
             self.plan(self.now + after, Step::Return(other, caller.first));
         }
     }
 
-    fn count(&mut self, caller: Caller, end: End) {
-        let is_return = caller.first < caller.asked;
-        let in_time = self.now.since(caller.asked) <= self.objective;
-        match end {
-            End::Covered(share) if in_time && is_return => {
-                self.tally.returned += 1;
-                self.tally.credit += share * share * RETURN_CREDIT;
-            }
-            End::Covered(share) if in_time => {
-                self.tally.in_time += 1;
-                self.tally.credit += share * share;
-            }
-            End::Covered(_) => self.tally.late += 1,
-            End::Refused if is_return => self.tally.refused_again += 1,
-            End::Refused => self.tally.refused += 1,
-            End::Failed => self.tally.failed += 1,
-        }
-    }
-
     fn arrive(&mut self, instance: usize, attempt: AttemptKey, upstream: usize) {
         let it = &mut self.upstreams[upstream];
         if it.is_down {
