edge, serve: a signal during the start stops the process

The signal came some milliseconds after the start, between the moment at which the process holds the signal and the one at which it waits for it, and was forgotten; seen in the log: started, never stopping.

The wait that stops the process now begins when the signal is held.

--- a/crates/briarcove/src/edge.rs
+++ b/crates/briarcove/src/edge.rs
@@ -11,7 +11,7 @@
 mod sync;
 mod upstreams;
 
-use std::{env, path::PathBuf, rc::Rc};
+use std::{env, io, path::PathBuf, rc::Rc};
 
 use compio::{net::TcpListener, runtime::spawn};
 use platform::settings::PATH_VARIABLE;
@@ -24,7 +24,7 @@
 pub fn run(args: &args::Edge) -> Exit {
     let logs = logs::start_stdout();
     // From here on a signal ends the process only as it is meant to.
-    let _held = hold::hold(&logs.logger(), &[libc::SIGHUP, libc::SIGTERM]);
+    let mut held = hold::hold(&logs.logger(), &[libc::SIGHUP, libc::SIGTERM]);
     let path = args
         .settings
         .clone()
@@ -48,13 +48,17 @@
         }
     };
     let shell = Shell::new(cfg, path, logs.logger());
-    let exit = drive::block_on(&runtime, &shell, serve(Rc::clone(&shell)));
+    let exit = drive::block_on(
+        &runtime,
+        &shell,
+        serve(Rc::clone(&shell), held.wait(libc::SIGTERM)),
+    );
     drop(shell);
     drop(logs);
     exit
 }
 
-async fn serve(shell: Rc<Shell>) -> Exit {
+async fn serve(shell: Rc<Shell>, stop: impl Future<Output = io::Result<()>>) -> Exit {
     let (cfg, log) = (shell.cfg.borrow().clone(), shell.log.clone());
     let listeners = async {
         Ok::<_, std::io::Error>((
@@ -80,7 +84,7 @@
     spawn(peers::accept(Rc::clone(&shell), others)).detach();
     sync::start(&shell);
     signals::watch_reload(&shell);
-    signals::run_until_stopped(&shell).await;
+    signals::run_until_stopped(&shell, stop).await;
     info!(log, "instance stopped"; "unanswered" => shell.in_hand());
     Exit::Ok
 }
--- a/crates/briarcove/src/edge/signals.rs
+++ b/crates/briarcove/src/edge/signals.rs
@@ -1,6 +1,6 @@
 //! Signals: stopping, and reading the settings again.
 
-use std::{rc::Rc, time::Duration};
+use std::{io, rc::Rc, time::Duration};
 
 use compio::{runtime::spawn, signal::unix::signal, time::sleep};
 use slog::{error, info, warn};
@@ -72,8 +72,11 @@
 }
 
 /// Serves until the process is told to stop and what is in hand is answered.
-pub(super) async fn run_until_stopped(shell: &Rc<Shell>) {
-    if let Err(e) = signal(libc::SIGTERM).await {
+pub(super) async fn run_until_stopped(
+    shell: &Rc<Shell>,
+    stop: impl Future<Output = io::Result<()>>,
+) {
+    if let Err(e) = stop.await {
         error!(shell.log, "SIGTERM can't be awaited"; "error" => %e);
         std::future::pending::<()>().await;
     }
--- a/crates/briarcove/src/serve/shell.rs
+++ b/crates/briarcove/src/serve/shell.rs
@@ -7,7 +7,7 @@
 };
 
 use base::{Incarnation, OpId, Time};
-use compio::{net::TcpListener, runtime::spawn, signal::unix::signal, time::timeout};
+use compio::{net::TcpListener, runtime::spawn, time::timeout};
 use front::{Front, Status};
 use futures_channel::mpsc::{UnboundedReceiver, UnboundedSender, unbounded};
 use futures_util::StreamExt;
@@ -130,8 +130,8 @@
         spawn(Rc::clone(&self.front).serve(callers)).detach();
         let links = self.links.clone();
         spawn(async move { links.listen(peers).await }).detach();
-        let _held = hold(&self.log, &[libc::SIGTERM]);
-        self.await_signal();
+        let mut held = hold(&self.log, &[libc::SIGTERM]);
+        self.await_signal(held.wait(libc::SIGTERM));
         let _ = self.events.unbounded_send(Event::Tick);
         let mut effects = Vec::new();
         while self.turn(&mut effects).await == Flow::Continue {}
@@ -140,10 +140,10 @@
     }
 
     /// Asks the reducer to drain when the process is told to end.
-    fn await_signal(&self) {
+    fn await_signal(&self, stop: impl Future<Output = std::io::Result<()>> + 'static) {
         let (events, log) = (self.events.clone(), self.log.clone());
         spawn(async move {
-            match signal(libc::SIGTERM).await {
+            match stop.await {
                 Ok(()) => info!(log, "termination signal; draining"),
                 Err(error) => return warn!(log, "signals cannot be awaited"; "error" => %error),
             }
--- a/crates/briarcove/tests/edge.rs
+++ b/crates/briarcove/tests/edge.rs
@@ -1,6 +1,10 @@
 //! An instance on the stand-in of the users' platform.
 
-use std::{path::PathBuf, thread, time::Duration};
+use std::{
+    path::PathBuf,
+    thread,
+    time::{Duration, Instant},
+};
 
 use nix::sys::signal::Signal;
 use rig::edge::{Behaviour, Site, Upstream, route_gather, route_one};
@@ -245,6 +249,29 @@
     assert_eq!(site.wait().unwrap(), Some(0));
 }
 
+/// A signal that comes while the process starts stops it too (seed 749 of the soak).
+#[test]
+fn a_signal_during_the_start_stops_the_instance() {
+    let site = Site::new(&folder("early")).unwrap();
+    let mut starting: Vec<Site> = (0..24)
+        .map(|nth| {
+            let name = format!("edge-early-{nth}");
+            let mut one = site.beside(&folder(&name), &name, 0.5).unwrap();
+            one.spawn(PROGRAM.as_ref()).unwrap();
+            thread::sleep(Duration::from_millis(1 + nth % 12));
+            one.signal(Signal::SIGTERM).unwrap();
+            one
+        })
+        .collect();
+    let end = Instant::now() + Duration::from_secs(15);
+    for one in &mut starting {
+        while !one.has_ended() {
+            assert!(Instant::now() < end, "an instance goes on: {:?}", one.log());
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+}
+
 #[test]
 fn a_configuration_that_a_watch_was_not_told_of_comes_into_force() {
     let (site, _upstreams) = started("hidden");
