--- a/crates/briarcove/tests/soak.rs
+++ b/crates/briarcove/tests/soak.rs
@@ -5,7 +5,7 @@
 use rig::soak::{Options, run};
 
 /// Seeds that once broke a promise, with what was wrong.
-const KEPT: [(u64, &str); 2] = [
+const KEPT: [(u64, &str); 3] = [
     (
         34,
         "a signal to reload ended the process while nobody waited for one",
@@ -14,6 +14,10 @@
         5,
         "a new connection was accepted as its process ended; allowed, the check was narrowed",
     ),
+    (
+        749,
+        "a signal to stop during the start was forgotten, and the process went on",
+    ),
 ];
 
 /// A seed that is run beside them.
