--- a/crates/rig/src/soak/world.rs
+++ b/crates/rig/src/soak/world.rs
@@ -57,6 +57,8 @@
     program: Box<Path>,
     /// Instances that stand still.
     frozen: [bool; POWERS.len()],
+    /// When each instance was frozen last.
+    frozen_at: [Instant; POWERS.len()],
     /// When each instance was started last.
     started: Vec<Instant>,
     /// Instances that ended without being told to.
@@ -112,6 +114,7 @@
             seq: 1,
             program: program.into(),
             frozen: [false; POWERS.len()],
+            frozen_at: [Instant::now(); POWERS.len()],
             started: vec![Instant::now(); POWERS.len()],
             ended: Vec::new(),
             undone: BinaryHeap::new(),
@@ -307,11 +310,14 @@
         }
         self.open_outage(at, false);
         self.frozen[at] = true;
+        self.frozen_at[at] = Instant::now();
         self.sites[at].signal(Signal::SIGSTOP)
     }
 
     fn thaw(&mut self, at: usize) {
         if std::mem::take(&mut self.frozen[at]) {
+            // A process that was frozen before its first code has heard of no signal yet (seed 829).
+            self.started[at] += self.frozen_at[at].elapsed();
             ignore_gone(self.sites[at].signal(Signal::SIGCONT));
             self.close_outage(at);
         }
