tier, briarcove: log and count what is known about requests that crash upstreams

On the only line with a digest was `request quarantined`; neither a suspicion nor a crash that was counted, nor the arrival or the loss of a quarantine could be seen, so the hypotheses of docs/incidents could not be told apart.

`request ended` now has the digest; a line names each upstream that crashed while it ran a request, with the calls counted so far; one each tells that a quarantine was learned or had no room (it was dropped in silence). The metric crash_suspicions counts suspected, confirmed and unconfirmed ones. No decision changes: the decisions' tests pass unchanged.

--- a/crates/briarcove/src/edge/metrics.rs
+++ b/crates/briarcove/src/edge/metrics.rs
@@ -29,6 +29,7 @@
     connections_refused: IntCounter,
     store_calls: IntCounterVec,
     upstream_changes: IntCounterVec,
+    crash_suspicions: IntCounterVec,
     config_version: IntGauge,
     pending_requests: IntGauge,
     attempts_in_flight: IntGauge,
@@ -83,6 +84,11 @@
             connections_refused: counter("refused_connections", "Connections of callers closed"),
             store_calls: counters("store_calls", "Calls to the store", &["call", "result"]),
             upstream_changes: counters("upstream_changes", "Beliefs on upstreams", &["change"]),
+            crash_suspicions: counters(
+                "crash_suspicions",
+                "Requests in flight at upstreams that may have crashed",
+                &["outcome"],
+            ),
             config_version: gauge("config_version", "Version of the configuration in force"),
             pending_requests: gauge("requests_in_hand", "Requests without an answer yet"),
             attempts_in_flight: gauge("attempts_in_flight", "Attempts without an end yet"),
@@ -106,7 +112,14 @@
             Note::UpstreamGone(..) => "gone",
             Note::RemovalHeld(..) => "removal_held",
             Note::UpstreamEjected(..) => "passed_over",
+            Note::CrashSuspected { forgotten } => {
+                self.count_suspicions("suspected", 1);
+                return self.count_suspicions("unconfirmed", *forgotten);
+            }
+            Note::UpstreamCrashed { .. } => return self.count_suspicions("confirmed", 1),
             Note::Quarantined(..) => "request_quarantined",
+            Note::QuarantineLearned(..) => "quarantine_learned",
+            Note::QuarantineFull(..) => "quarantine_full",
             Note::InstanceEjected(..) => "instance_passed_over",
             Note::CutOff => "cut_off",
             Note::Rejoined => "rejoined",
@@ -116,6 +129,12 @@
         self.upstream_changes.with_label_values(&[change]).inc();
     }
 
+    fn count_suspicions(&self, outcome: &str, count: usize) {
+        self.crash_suspicions
+            .with_label_values(&[outcome])
+            .inc_by(count as u64);
+    }
+
     /// Counts a call that has ended.
     fn count_call(&self, ended: &CallSummary) {
         self.requests.with_label_values(&[ended.outcome]).inc();
--- a/crates/briarcove/src/edge/note_log.rs
+++ b/crates/briarcove/src/edge/note_log.rs
@@ -69,6 +69,28 @@
                 warn!(self.log, "request quarantined, as it crashes upstreams";
                     "digest" => format!("{digest:016x}"));
             }
+            Note::CrashSuspected { .. } => {}
+            Note::UpstreamCrashed {
+                upstream,
+                digest,
+                calls,
+            } => {
+                if self.is_within_rate(now) {
+                    warn!(self.log, "upstream crashed while it ran a request";
+                        "upstream" => %upstream, "digest" => format!("{digest:016x}"),
+                        "calls" => calls);
+                } else {
+                    self.dropped.set(self.dropped.get() + 1);
+                }
+            }
+            Note::QuarantineLearned(digest) => {
+                info!(self.log, "quarantine learned from another instance";
+                    "digest" => format!("{digest:016x}"));
+            }
+            Note::QuarantineFull(digest) => {
+                warn!(self.log, "too many quarantined requests; one is not refused";
+                    "digest" => format!("{digest:016x}"));
+            }
             Note::InstanceEjected(name) => {
                 info!(self.log, "instance ejected; it is handed no searches"; "instance" => %name);
             }
@@ -111,7 +133,8 @@
             self.dropped.set(self.dropped.get() + 1);
             return;
         }
-        info!(self.log, "request ended"; "request" => &*ended.id, "route" => &*ended.route,
+        info!(self.log, "request ended"; "request" => &*ended.id,
+            "digest" => format!("{:016x}", ended.digest), "route" => &*ended.route,
             "config" => ended.version, "outcome" => ended.outcome,
             "took_ms" => ended.took.as_millis() as u64,
             "allowed_ms" => ended.allowed.as_millis() as u64,
--- a/crates/tier/src/crash.rs
+++ b/crates/tier/src/crash.rs
@@ -38,10 +38,13 @@
 pub struct SuspectRequests(Vec<(u64, CallId, Time)>);
 
 impl SuspectRequests {
-    /// Records a connection that broke while a request was in flight.
-    pub fn connection_broke(&mut self, now: Time, digest: u64, call: CallId) {
+    /// Records a connection that broke while a request was in flight; returns the number of older
+    /// ones that were forgotten without a confirmed crash.
+    pub fn connection_broke(&mut self, now: Time, digest: u64, call: CallId) -> usize {
+        let before = self.0.len();
         self.0.retain(|(.., at)| now.since(*at) <= CONFIRM_WITHIN);
         self.0.push((digest, call, now));
+        before + 1 - self.0.len()
     }
 
     /// Returns and clears the requests that may have crashed an upstream that is now unreachable.
@@ -83,12 +86,19 @@
         true
     }
 
-    /// Quarantines a request.
-    pub fn quarantine(&mut self, now: Time, digest: u64) {
+    /// Quarantines a request; returns false if there is no room for it.
+    pub fn quarantine(&mut self, now: Time, digest: u64) -> bool {
         self.quarantined.retain(|_, until| *until > now);
-        if self.quarantined.len() < MAX_TRACKED_REQUESTS {
+        let has_room = self.quarantined.len() < MAX_TRACKED_REQUESTS;
+        if has_room {
             self.quarantined.insert(digest, now + QUARANTINE_PERIOD);
         }
+        has_room
+    }
+
+    /// Returns the number of calls with a request that crashed upstreams.
+    pub fn calls(&self, digest: u64) -> usize {
+        self.suspects.get(&digest).map_or(0, Vec::len)
     }
 
     /// Returns whether a request is quarantined.
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -195,6 +195,8 @@
 pub struct CallSummary {
     /// Request id assigned by the caller.
     pub id: Box<str>,
+    /// Digest of the content that makes two requests equal to an upstream.
+    pub digest: u64,
     /// Name of the route; empty when none matched.
     pub route: Box<str>,
     /// Version of the configuration.
@@ -267,8 +269,26 @@
     RemovalHeld(UpstreamName),
     /// An upstream is ejected for a time after failures.
     UpstreamEjected(UpstreamName, ServiceName, Failure, Duration),
+    /// A connection broke while a request was in flight, which may be due to a crash.
+    CrashSuspected {
+        /// Number of older suspicions at the same upstream that were never confirmed.
+        forgotten: usize,
+    },
+    /// An upstream crashed while it ran a request.
+    UpstreamCrashed {
+        /// The upstream.
+        upstream: UpstreamName,
+        /// Digest of the request.
+        digest: u64,
+        /// Number of calls with the request that crashed upstreams, as far as is known here.
+        calls: usize,
+    },
     /// A request crashed upstreams and is quarantined; given by its digest.
     Quarantined(u64),
+    /// Another instance has quarantined the request with this digest.
+    QuarantineLearned(u64),
+    /// The request with this digest is not quarantined, as too many others are.
+    QuarantineFull(u64),
     /// Another instance is ejected and gets no searches for a while.
     InstanceEjected(InstanceName),
     /// No upstream replies, or too few shards are reachable; this instance is not ready.
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -127,7 +127,7 @@
             }
             Event::Confirmed(id) => self.on_confirmed(id, effects),
             Event::InstanceAlive(name) => self.instances.mark_alive(now, &name),
-            Event::Quarantine(digest) => self.crashes.quarantine(now, digest),
+            Event::Quarantine(digest) => self.on_quarantine(now, digest, effects),
             Event::PlatformLost => self.on_platform_lost(effects),
             Event::PlatformBack => self.on_platform_back(now, effects),
             Event::Probed(key, ok) => self.on_probed(now, key, ok, effects),
--- a/crates/tier/src/tier/answers.rs
+++ b/crates/tier/src/tier/answers.rs
@@ -175,6 +175,7 @@
         }
         effects.push(Effect::Note(Note::CallEnded(Box::new(CallSummary {
             id: call.head.id.clone(),
+            digest: call.head.digest,
             route: route.name.clone(),
             version: call.config.version,
             outcome,
@@ -201,6 +202,7 @@
     ) {
         effects.push(Effect::Note(Note::CallEnded(Box::new(CallSummary {
             id: head.id.clone(),
+            digest: head.digest,
             route: Box::from(""),
             version: self.config.as_ref().map_or(0, |config| config.version),
             outcome,
--- a/crates/tier/src/tier/outcomes.rs
+++ b/crates/tier/src/tier/outcomes.rs
@@ -74,6 +74,17 @@
         }
     }
 
+    /// Applies a quarantine that another instance has published.
+    pub(super) fn on_quarantine(&mut self, now: Time, digest: u64, effects: &mut Vec<Effect<C>>) {
+        let is_known = self.crashes.is_quarantined(now, digest);
+        let note = match self.crashes.quarantine(now, digest) {
+            true if is_known => return,
+            true => Note::QuarantineLearned(digest),
+            false => Note::QuarantineFull(digest),
+        };
+        effects.push(Effect::Note(note));
+    }
+
     /// Records a failure of an upstream: ejects it if it has failed too often, and counts crashes
     /// that its requests may have caused.
     fn record_failure(
@@ -100,13 +111,21 @@
                 name, service, failure, ejection,
             )));
         }
+        let name = upstream.entry.name.clone();
         let suspects = self.directory.suspects.entry(key).or_default();
         if failure == Failure::Broken {
-            suspects.connection_broke(now, attempt.digest, attempt.call);
+            let forgotten = suspects.connection_broke(now, attempt.digest, attempt.call);
+            effects.push(Effect::Note(Note::CrashSuspected { forgotten }));
         }
         if is_unreachable {
             for (digest, call) in suspects.confirmed(now) {
-                if self.crashes.record_crash(now, digest, call) {
+                let is_quarantined = self.crashes.record_crash(now, digest, call);
+                effects.push(Effect::Note(Note::UpstreamCrashed {
+                    upstream: name.clone(),
+                    digest,
+                    calls: self.crashes.calls(digest),
+                }));
+                if is_quarantined {
                     effects.push(Effect::Quarantine(digest));
                     effects.push(Effect::Note(Note::Quarantined(digest)));
                 }
