--- a/crates/tier/tests/main.rs
+++ b/crates/tier/tests/main.rs
@@ -3,6 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a test may panic")]
 
 mod branch;
+mod crashing;
 mod decisions;
 mod handover;
 mod instance;
