tier: find out whether an upstream crashed instead of waiting for a refusal

Cause: a crash counted only if, within a second of the broken connection, another attempt happened to be refused at the same upstream. And what was counted did not tell the request from others: two calls with one content at upstreams that failed for another reason were enough, while replies to the same content counted for nothing.

Change: a request without a reply, also one in silence, is a suspicion; its upstream is probed after 0.1 s (0.3 s) unless it has answered a later request. Refused, unanswered three times, restarted by its entry or replaced at its address counts as a crash. Any reply of the service to the same content acquits it. A request against which a crash counts gets no second attempts; Retry-After is the time left in quarantine; a full table drops the oldest suspicion instead of a new quarantine, with a line.

The test a_request_is_quarantined_after_crashes_of_two_calls held the threshold of two calls; it is replaced by one for three upstreams by two calls at different times, which also checks that neither one call nor one moment is enough, and by four on acquittal, double reports and the full table.

--- a/crates/briarcove/src/edge/metrics.rs
+++ b/crates/briarcove/src/edge/metrics.rs
@@ -112,14 +112,13 @@
             Note::UpstreamGone(..) => "gone",
             Note::RemovalHeld(..) => "removal_held",
             Note::UpstreamEjected(..) => "passed_over",
-            Note::CrashSuspected { forgotten } => {
-                self.count_suspicions("suspected", 1);
-                return self.count_suspicions("unconfirmed", *forgotten);
-            }
+            Note::CrashSuspected => return self.count_suspicions("suspected", 1),
+            Note::CrashUnconfirmed(count) => return self.count_suspicions("unconfirmed", *count),
             Note::UpstreamCrashed { .. } => return self.count_suspicions("confirmed", 1),
             Note::Quarantined(..) => "request_quarantined",
             Note::QuarantineLearned(..) => "quarantine_learned",
             Note::QuarantineFull(..) => "quarantine_full",
+            Note::QuarantineEnded(..) => "quarantine_ended",
             Note::InstanceEjected(..) => "instance_passed_over",
             Note::CutOff => "cut_off",
             Note::Rejoined => "rejoined",
--- a/crates/briarcove/src/edge/note_log.rs
+++ b/crates/briarcove/src/edge/note_log.rs
@@ -69,16 +69,16 @@
                 warn!(self.log, "request quarantined, as it crashes upstreams";
                     "digest" => format!("{digest:016x}"));
             }
-            Note::CrashSuspected { .. } => {}
+            Note::CrashSuspected | Note::CrashUnconfirmed(_) => {}
             Note::UpstreamCrashed {
                 upstream,
                 digest,
-                calls,
+                crashes,
             } => {
                 if self.is_within_rate(now) {
                     warn!(self.log, "upstream crashed while it ran a request";
                         "upstream" => %upstream, "digest" => format!("{digest:016x}"),
-                        "calls" => calls);
+                        "crashes" => crashes);
                 } else {
                     self.dropped.set(self.dropped.get() + 1);
                 }
@@ -88,7 +88,11 @@
                     "digest" => format!("{digest:016x}"));
             }
             Note::QuarantineFull(digest) => {
-                warn!(self.log, "too many quarantined requests; one is not refused";
+                warn!(self.log, "too many quarantined requests; one is no longer refused";
+                    "digest" => format!("{digest:016x}"));
+            }
+            Note::QuarantineEnded(digest) => {
+                info!(self.log, "quarantine ended, as an upstream has replied to the request";
                     "digest" => format!("{digest:016x}"));
             }
             Note::InstanceEjected(name) => {
--- a/crates/briarcove/src/edge/upstreams.rs
+++ b/crates/briarcove/src/edge/upstreams.rs
@@ -13,7 +13,7 @@
 use futures_channel::oneshot;
 use pipe::{ClientConnection, ExchangeError, Keepalive};
 use platform::{CallerRequest, UpstreamReply, reply::keep_alive_seconds};
-use tier::{Event, Failure, Outcome, UpstreamKey};
+use tier::{Event, Failure, Outcome, UpstreamKey, crash::suspicion::ProbeResult};
 
 use super::shell::Shell;
 
@@ -202,5 +202,10 @@
     let wait = tier::reachability::PROBE_INTERVAL;
     let opened =
         ClientConnection::open(address, wait, Keepalive::Disabled, shell.buf.clone()).await;
-    shell.dispatch(Event::Probed(upstream, opened.is_ok()));
+    let result = match opened {
+        Ok(_) => ProbeResult::Accepted,
+        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
+        Err(_) => ProbeResult::Unanswered,
+    };
+    shell.dispatch(Event::Probed(upstream, result));
 }
--- a/crates/tier/src/call.rs
+++ b/crates/tier/src/call.rs
@@ -15,6 +15,8 @@
 /// A pending request, from a caller or from another instance.
 pub(crate) struct Call<C: Protocol> {
     pub(crate) head: Head,
+    /// Hash of the request's id.
+    pub(crate) id_hash: u64,
     pub(crate) request: C::Request,
     /// The configuration that the whole call runs with.
     pub(crate) config: Rc<Config>,
--- /dev/null
+++ b/crates/tier/src/crash/tracker.rs
@@ -0,0 +1,233 @@
+//! Crashes by request, and the requests in quarantine.
+
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    time::Duration,
+};
+
+use base::{ServiceName, Time};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use super::Crash;
+
+/// Number of upstreams that a request has to crash before it is quarantined.
+const MIN_CRASHES: usize = 3;
+
+/// Number of calls with the request among those: a search crashes many upstreams at once, and so
+/// does a failing rack.
+const MIN_CALLS: usize = 2;
+
+/// Time between the first and the last of the crashes; upstreams that fail together for another
+/// reason do so at one time.
+const MIN_SPAN: Duration = Duration::from_millis(200);
+
+/// Time within which two reports of a crash of one upstream are about the same crash.
+const SAME_CRASH: Duration = Duration::from_millis(500);
+
+/// Time for which a crash counts.
+const CRASH_PERIOD: Duration = Duration::from_secs(600);
+
+/// Maximum number of crashes that are kept for a request.
+const MAX_CRASHES: usize = 16;
+
+/// Time for which a request is refused. Each quarantine in a row lasts twice as long as the one
+/// before.
+const QUARANTINE_PERIOD: Duration = Duration::from_secs(120);
+
+/// Maximum number of doublings of [`QUARANTINE_PERIOD`].
+const MAX_DOUBLINGS: u32 = 5;
+
+/// Time after a reply within which a request without one is not suspected.
+const REPLY_PERIOD: Duration = Duration::from_secs(5);
+
+/// Maximum number of requests that are tracked.
+const MAX_TRACKED_REQUESTS: usize = 1_024;
+
+/// Number of recent replies that are remembered.
+const REPLY_SLOTS: usize = 2_048;
+
+/// Tracks requests that crashed upstreams, by digest.
+#[derive(Debug)]
+pub struct CrashTracker {
+    records: HashMap<u64, Record>,
+    /// Digests in the order in which they were first seen.
+    order: VecDeque<u64>,
+    /// Recent replies: hashes of digest and service, each in the slot that it selects.
+    replies: Box<[(u64, Time)]>,
+    /// Quarantined request that was dropped for another one.
+    dropped: Option<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Record {
+    crashes: Vec<Crash>,
+    quarantined_until: Option<Time>,
+    /// Number of quarantines so far.
+    quarantines: u32,
+}
+
+/// The effect of a crash on the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// The crash was known, or the request has had a reply.
+    Unchanged,
+    /// The crash counts.
+    Suspected,
+    /// The request is in quarantine from now on.
+    Quarantined,
+}
+
+impl Default for CrashTracker {
+    fn default() -> Self {
+        Self {
+            records: HashMap::new(),
+            order: VecDeque::new(),
+            replies: vec![(0, Time::ZERO); REPLY_SLOTS].into(),
+            dropped: None,
+        }
+    }
+}
+
+impl CrashTracker {
+    /// Records a crash.
+    pub fn record_crash(&mut self, now: Time, crash: Crash) -> Verdict {
+        if self.was_answered(crash.at, crash.digest, &crash.service) {
+            return Verdict::Unchanged;
+        }
+        let record = self.record(now, crash.digest);
+        let is_same = |known: &Crash| {
+            let apart = known.at.since(crash.at).max(crash.at.since(known.at));
+            known.upstream == crash.upstream && apart < SAME_CRASH
+        };
+        if record.crashes.iter().any(is_same) {
+            return Verdict::Unchanged;
+        }
+        record
+            .crashes
+            .retain(|known| now.since(known.at) < CRASH_PERIOD);
+        if record.crashes.len() >= MAX_CRASHES {
+            // The first one stays, as it shows the span.
+            record.crashes.remove(1);
+        }
+        record.crashes.push(crash);
+        if record.is_quarantined(now) || !record.is_conclusive() {
+            return Verdict::Suspected;
+        }
+        let period = QUARANTINE_PERIOD * 2_u32.pow(record.quarantines.min(MAX_DOUBLINGS));
+        record.quarantined_until = Some(now + period);
+        record.quarantines += 1;
+        Verdict::Quarantined
+    }
+
+    /// Records that an upstream has replied to a request, whatever the reply; returns whether that
+    /// ends a quarantine.
+    pub fn record_reply(&mut self, now: Time, digest: u64, service: &ServiceName) -> bool {
+        let key = reply_key(digest, service);
+        self.replies[slot(key)] = (key, now);
+        let Some(record) = self.records.get_mut(&digest) else {
+            return false;
+        };
+        let before = record.crashes.len();
+        record.crashes.retain(|crash| crash.service != *service);
+        let is_acquitted = record.crashes.len() < before && !record.is_conclusive();
+        is_acquitted
+            && record
+                .quarantined_until
+                .take()
+                .is_some_and(|until| until > now)
+    }
+
+    /// Returns whether an upstream of a service has replied to a request shortly before a time, or
+    /// since.
+    pub fn was_answered(&self, at: Time, digest: u64, service: &ServiceName) -> bool {
+        let key = reply_key(digest, service);
+        let (known, replied) = self.replies[slot(key)];
+        known == key && at.since(replied) < REPLY_PERIOD
+    }
+
+    /// Quarantines a request on behalf of another instance; returns whether it was not before.
+    pub fn quarantine(&mut self, now: Time, digest: u64, period: Duration) -> bool {
+        let record = self.record(now, digest);
+        let was_quarantined = record.is_quarantined(now);
+        let until = record.quarantined_until.unwrap_or(Time::ZERO);
+        record.quarantined_until = Some(until.max(now + period));
+        !was_quarantined
+    }
+
+    /// Ends the quarantine of a request; returns whether it was in quarantine.
+    pub fn release(&mut self, now: Time, digest: u64) -> bool {
+        let Some(record) = self.records.get_mut(&digest) else {
+            return false;
+        };
+        record.crashes.clear();
+        record
+            .quarantined_until
+            .take()
+            .is_some_and(|until| until > now)
+    }
+
+    /// Returns the time for which a request stays in quarantine.
+    pub fn quarantine_left(&self, now: Time, digest: u64) -> Option<Duration> {
+        let until = self.records.get(&digest)?.quarantined_until?;
+        (until > now).then(|| until.since(now))
+    }
+
+    /// Returns whether crashes count against a request.
+    pub fn is_suspected(&self, digest: u64) -> bool {
+        let record = self.records.get(&digest);
+        record.is_some_and(|record| !record.crashes.is_empty())
+    }
+
+    /// Returns the number of crashes that count against a request.
+    pub fn crashes(&self, digest: u64) -> usize {
+        self.records.get(&digest).map_or(0, |it| it.crashes.len())
+    }
+
+    /// Returns and clears the quarantined request that was last dropped for want of room.
+    pub fn take_dropped(&mut self) -> Option<u64> {
+        self.dropped.take()
+    }
+
+    /// Returns the record of a request. If there are too many, a new one takes the place of the
+    /// oldest that is not in quarantine, or of the oldest.
+    fn record(&mut self, now: Time, digest: u64) -> &mut Record {
+        if !self.records.contains_key(&digest) {
+            if self.order.len() >= MAX_TRACKED_REQUESTS {
+                let is_free = |it: &u64| !self.records[it].is_quarantined(now);
+                let free = self.order.iter().position(is_free);
+                if let Some(oldest) = self.order.remove(free.unwrap_or(0)) {
+                    self.records.remove(&oldest);
+                    self.dropped = free.is_none().then_some(oldest);
+                }
+            }
+            self.order.push_back(digest);
+        }
+        self.records.entry(digest).or_default()
+    }
+}
+
+impl Record {
+    fn is_quarantined(&self, now: Time) -> bool {
+        self.quarantined_until.is_some_and(|until| until > now)
+    }
+
+    /// Returns whether the crashes leave no other explanation than the request.
+    fn is_conclusive(&self) -> bool {
+        let calls: HashSet<u64> = self.crashes.iter().map(|crash| crash.call).collect();
+        let times = || self.crashes.iter().map(|crash| crash.at);
+        let (Some(first), Some(last)) = (times().min(), times().max()) else {
+            return false;
+        };
+        self.crashes.len() >= MIN_CRASHES
+            && calls.len() >= MIN_CALLS
+            && last.since(first) >= MIN_SPAN
+    }
+}
+
+fn reply_key(digest: u64, service: &ServiceName) -> u64 {
+    xxh3_64_with_seed(service.as_str().as_bytes(), digest)
+}
+
+fn slot(key: u64) -> usize {
+    key as usize % REPLY_SLOTS
+}
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -9,10 +9,7 @@
 use rand::Rng;
 use slotmap::SlotMap;
 
-use crate::{
-    crash::SuspectRequests,
-    upstream::{Entry, Upstream, UpstreamKey},
-};
+use crate::upstream::{Entry, Upstream, UpstreamKey};
 
 /// Maximum number of removed incarnations whose latest publication is remembered, so that an older
 /// one is not taken for a restart.
@@ -35,8 +32,6 @@
     upstreams: SlotMap<UpstreamKey, Upstream>,
     names: HashMap<UpstreamName, UpstreamKey>,
     services: HashMap<ServiceName, Vec<UpstreamKey>>,
-    /// Recently broken connections of each upstream.
-    pub suspects: HashMap<UpstreamKey, SuspectRequests>,
     /// Start time and sequence number of the latest publication of removed incarnations.
     removed: HashMap<UpstreamName, (u64, u64)>,
     /// Removals that are not applied before `hold_until`.
@@ -109,7 +104,6 @@
     /// another upstream.
     pub fn force_remove(&mut self, key: UpstreamKey) -> Option<(UpstreamKey, Upstream)> {
         let upstream = self.upstreams.remove(key)?;
-        self.suspects.remove(&key);
         self.names.remove(&upstream.entry.name);
         if let Some(list) = self.services.get_mut(&upstream.entry.service) {
             list.retain(|other| *other != key);
@@ -165,6 +159,11 @@
             .collect()
     }
 
+    /// Returns the key of the upstream with a name.
+    pub fn named(&self, name: &UpstreamName) -> Option<UpstreamKey> {
+        self.names.get(name).copied()
+    }
+
     /// Returns the upstream of a key.
     pub fn get(&self, key: UpstreamKey) -> Option<&Upstream> {
         self.upstreams.get(key)
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -31,7 +31,7 @@
     Ping(InstanceName),
     /// Closes the idle connections to a removed upstream.
     Forget(UpstreamKey),
-    /// Probes whether an upstream is reachable.
+    /// Probes whether an upstream accepts connections.
     Probe(UpstreamKey, SocketAddr),
     /// Shares a quarantined request, given by its digest, with the other instances.
     Quarantine(u64),
@@ -269,26 +269,27 @@
     RemovalHeld(UpstreamName),
     /// An upstream is ejected for a time after failures.
     UpstreamEjected(UpstreamName, ServiceName, Failure, Duration),
-    /// A connection broke while a request was in flight, which may be due to a crash.
-    CrashSuspected {
-        /// Number of older suspicions at the same upstream that were never confirmed.
-        forgotten: usize,
-    },
+    /// A request got no reply, which may be due to a crash of its upstream.
+    CrashSuspected,
+    /// Suspicions were dropped, as the upstream was not found down or there were too many.
+    CrashUnconfirmed(usize),
     /// An upstream crashed while it ran a request.
     UpstreamCrashed {
         /// The upstream.
         upstream: UpstreamName,
         /// Digest of the request.
         digest: u64,
-        /// Number of calls with the request that crashed upstreams, as far as is known here.
-        calls: usize,
+        /// Number of upstreams that the request has crashed, as far as is known here.
+        crashes: usize,
     },
     /// A request crashed upstreams and is quarantined; given by its digest.
     Quarantined(u64),
     /// Another instance has quarantined the request with this digest.
     QuarantineLearned(u64),
-    /// The request with this digest is not quarantined, as too many others are.
+    /// The request with this digest is no longer quarantined, as too many others are.
     QuarantineFull(u64),
+    /// The request with this digest is no longer quarantined, as an upstream has replied to it.
+    QuarantineEnded(u64),
     /// Another instance is ejected and gets no searches for a while.
     InstanceEjected(InstanceName),
     /// No upstream replies, or too few shards are reachable; this instance is not ready.
--- a/crates/tier/src/event.rs
+++ b/crates/tier/src/event.rs
@@ -7,6 +7,7 @@
 
 use crate::{
     config::Config,
+    crash::suspicion::ProbeResult,
     effect::LimitedShard,
     handover::Instance,
     settings::Settings,
@@ -72,8 +73,8 @@
     PlatformLost,
     /// The platform is available again.
     PlatformBack,
-    /// An upstream was probed; the flag is true if it is reachable.
-    Probed(UpstreamKey, bool),
+    /// An upstream was probed.
+    Probed(UpstreamKey, ProbeResult),
     /// The settings have changed.
     Settings(Settings),
     /// The process is shutting down; pending requests are still served.
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod branches;
 mod calls;
+mod crashes;
 mod handovers;
 mod outcomes;
 mod updates;
@@ -22,7 +23,7 @@
     budget::{Bound, ExtraAttempts},
     call::Call,
     config::Config,
-    crash::CrashTracker,
+    crash::{suspicion::Suspicions, tracker::CrashTracker},
     directory::Directory,
     effect::Effect,
     event::{AttemptKey, Event, Protocol},
@@ -57,6 +58,8 @@
     sent: Time,
     route: Rc<str>,
     digest: u64,
+    /// Hash of the request's id.
+    id_hash: u64,
 }
 
 /// The reducer of one instance.
@@ -72,6 +75,7 @@
     calls: HashMap<CallId, Call<C>>,
     attempts: SlotMap<AttemptKey, Attempt>,
     crashes: CrashTracker,
+    suspicions: Suspicions,
     reachability: Reachability,
     /// Whether a timer for the next probe is set.
     is_probe_scheduled: bool,
@@ -97,6 +101,7 @@
             calls: HashMap::new(),
             attempts: SlotMap::with_key(),
             crashes: CrashTracker::default(),
+            suspicions: Suspicions::default(),
             reachability: Reachability::default(),
             is_probe_scheduled: false,
             timers: Timers::default(),
@@ -130,7 +135,7 @@
             Event::Quarantine(digest) => self.on_quarantine(now, digest, effects),
             Event::PlatformLost => self.on_platform_lost(effects),
             Event::PlatformBack => self.on_platform_back(now, effects),
-            Event::Probed(key, ok) => self.on_probed(now, key, ok, effects),
+            Event::Probed(key, result) => self.on_probed(now, key, result, effects),
             Event::Settings(settings) => self.settings = settings,
             Event::Drain => self.is_draining = true,
             Event::Stop => self.on_stop(now, effects),
@@ -140,7 +145,7 @@
 
     /// Returns the time at which the next [`Event::Tick`] is due.
     pub fn next_wake(&mut self) -> Option<Time> {
-        let (attempts, calls) = (&self.attempts, &self.calls);
+        let (attempts, calls, suspicions) = (&self.attempts, &self.calls, &self.suspicions);
         self.timers.next_needed(|due| match due {
             Due::Hedge(attempt) => {
                 let call = attempts.get(*attempt).map(|attempt| attempt.call);
@@ -151,6 +156,7 @@
             Due::Overdue(id) | Due::Silent(id) => calls
                 .get(id)
                 .is_some_and(|call| call.remote_instance().is_some()),
+            Due::CheckSuspect(key) => suspicions.has(*key),
             Due::Removals | Due::Probe => true,
         })
     }
@@ -208,6 +214,7 @@
                 Due::Close(attempt) => self.on_close(now, attempt, effects),
                 Due::Probe => self.on_probe_due(effects, now),
                 Due::Removals => self.on_removals(now, effects),
+                Due::CheckSuspect(key) => self.on_suspect_due(now, key, effects),
             }
         }
     }
--- a/crates/tier/src/tier/attempts.rs
+++ b/crates/tier/src/tier/attempts.rs
@@ -7,6 +7,7 @@
 use super::{Attempt, Tier, calls::is_gather};
 use crate::{
     call::PartState,
+    crash::suspicion::SILENT_CHECK_DELAY,
     effect::{Effect, FailedAttempt, Send},
     event::{AttemptKey, Failure, Outcome, Protocol, Reply},
     hedge, placement,
@@ -49,6 +50,7 @@
             sent: now,
             route: Rc::clone(&name),
             digest: call.head.digest,
+            id_hash: call.id_hash,
         });
         upstream.in_flight.push((attempt, now));
         let part = &mut call.parts[at];
@@ -212,6 +214,13 @@
         let route = call.config.route(call.route);
         let part = &call.parts[at];
         let may_repeat = route.idempotent || !call.may_have_run;
+        let digest = call.head.digest;
+        // Another attempt of a request that may have crashed an upstream could crash one more.
+        if self.crashes.quarantine_left(now, digest).is_some()
+            || !part.tried.is_empty() && self.crashes.is_suspected(digest)
+        {
+            return false;
+        }
         if !may_repeat
             || !part.is_open()
             || !part.in_flight.is_empty() && !route.idempotent
@@ -311,6 +320,7 @@
         if waited >= NO_REPLY_THRESHOLD {
             self.on_upstream_silent(now, attempt.upstream);
         }
+        self.suspect(now, &attempt, SILENT_CHECK_DELAY, effects);
         let mean_latency = self.route_state(&attempt.route).latency.mean(waited);
         if let Some(upstream) = self.directory.get_mut(attempt.upstream) {
             upstream.attempt_ended(key);
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -3,6 +3,7 @@
 use std::{rc::Rc, time::Duration};
 
 use base::{CallId, ServiceName, Time};
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Tier, branches::BranchPlan};
 use crate::{
@@ -104,6 +105,7 @@
             extra_attempts: 0,
             skipped: 0,
             failed_attempts: Vec::new(),
+            id_hash: xxh3_64(head.id.as_bytes()),
             head,
         };
         self.start(now, id, call, effects);
@@ -139,7 +141,11 @@
 
     /// Hands a call over to another instance or runs it locally.
     fn start(&mut self, now: Time, id: CallId, mut call: Call<C>, effects: &mut Vec<Effect<C>>) {
-        if self.crashes.is_quarantined(now, call.head.digest) {
+        if self
+            .crashes
+            .quarantine_left(now, call.head.digest)
+            .is_some()
+        {
             self.refuse(now, id, &mut call, Refusal::Quarantined, effects);
             return;
         }
@@ -296,10 +302,14 @@
         }
         let left = (call.arrived + call.allowed).since(now);
         let name: Rc<str> = Rc::from(&*call.config.route(call.route).name);
-        let after = self
-            .route_state(&name)
-            .retry_schedule
-            .next_slot(now, ASSUMED_RECOVERY, left);
+        let quarantine_left = self.crashes.quarantine_left(now, call.head.digest);
+        let after = match quarantine_left.filter(|_| why == Refusal::Quarantined) {
+            Some(quarantine_left) => quarantine_left,
+            None => self
+                .route_state(&name)
+                .retry_schedule
+                .next_slot(now, ASSUMED_RECOVERY, left),
+        };
         self.note_call_ended(now, call, why.name(), false, effects);
         effects.push(Effect::Answer(id, Answer::Refused(why, after)));
     }
--- /dev/null
+++ b/crates/tier/src/tier/crashes.rs
@@ -0,0 +1,172 @@
+//! Requests that may have crashed upstreams: suspicion, checks, and quarantine.
+
+use std::time::Duration;
+
+use base::{ServiceName, Time};
+
+use super::{Attempt, Tier};
+use crate::{
+    crash::{
+        Crash,
+        suspicion::{Check, PROBE_RETRY_DELAY, ProbeResult, SUSPICION_PERIOD},
+        tracker::Verdict,
+    },
+    effect::{Effect, Note},
+    event::Protocol,
+    timers::Due,
+    upstream::{Entry, UpstreamKey},
+};
+
+/// Time for which a request that another instance has published is refused.
+const PUBLISHED_PERIOD: Duration = Duration::from_secs(120);
+
+impl<C: Protocol> Tier<C> {
+    /// Suspects the request of an attempt that ended without a reply, unless requests like it are
+    /// answered; its upstream is checked after a delay.
+    pub(super) fn suspect(
+        &mut self,
+        now: Time,
+        attempt: &Attempt,
+        delay: Duration,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let key = attempt.upstream;
+        let Some(upstream) = self.directory.get(key) else {
+            return;
+        };
+        let entry = &upstream.entry;
+        // An upstream that drains ends by itself.
+        let is_explained =
+            entry.draining || (self.crashes).was_answered(now, attempt.digest, &entry.service);
+        if is_explained {
+            return;
+        }
+        let possible = Crash {
+            digest: attempt.digest,
+            call: attempt.id_hash,
+            service: entry.service.clone(),
+            upstream: entry.name.clone(),
+            at: now,
+        };
+        let dropped = self.suspicions.add(key, entry.address, possible);
+        effects.push(Effect::Note(Note::CrashSuspected));
+        note_unconfirmed(dropped, effects);
+        self.timers.set(now + delay, Due::CheckSuspect(key));
+        self.timers
+            .set(now + SUSPICION_PERIOD, Due::CheckSuspect(key));
+    }
+
+    /// Checks an upstream with suspected requests.
+    pub(super) fn on_suspect_due(
+        &mut self,
+        now: Time,
+        key: UpstreamKey,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let upstream = self.directory.get(key);
+        let answered_since = upstream.and_then(|upstream| upstream.answered_since);
+        let (dropped, check) = self.suspicions.check(now, key, answered_since);
+        note_unconfirmed(dropped, effects);
+        match check {
+            Check::Done => {}
+            Check::Probe(address) => effects.push(Effect::Probe(key, address)),
+        }
+    }
+
+    /// Handles the result of a probe of an upstream that may be suspected.
+    pub(super) fn on_suspect_probed(
+        &mut self,
+        now: Time,
+        key: UpstreamKey,
+        result: ProbeResult,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        if self.suspicions.probed(key, result) {
+            self.on_upstream_crashed(now, key, effects);
+        } else if result == ProbeResult::Unanswered {
+            let again = now + PROBE_RETRY_DELAY;
+            self.timers.set(again, Due::CheckSuspect(key));
+        }
+    }
+
+    /// Detects from an entry that a suspected upstream has restarted, or that another one has taken
+    /// its address.
+    pub(super) fn detect_restart(
+        &mut self,
+        now: Time,
+        entry: &Entry,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let known = self.directory.named(&entry.name);
+        let ended = match known.and_then(|key| Some((key, self.directory.get(key)?))) {
+            Some((key, upstream)) => (entry.started_ms > upstream.entry.started_ms).then_some(key),
+            None => self.suspicions.at(entry.address),
+        };
+        if let Some(key) = ended {
+            self.on_upstream_crashed(now, key, effects);
+        }
+    }
+
+    /// Counts the crash of an upstream against the requests that are suspected of it.
+    pub(super) fn on_upstream_crashed(
+        &mut self,
+        now: Time,
+        key: UpstreamKey,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        for crash in self.suspicions.confirm(key) {
+            self.record_crash(now, crash, effects);
+        }
+    }
+
+    fn record_crash(&mut self, now: Time, crash: Crash, effects: &mut Vec<Effect<C>>) {
+        let (digest, upstream) = (crash.digest, crash.upstream.clone());
+        let verdict = self.crashes.record_crash(now, crash);
+        self.note_dropped_quarantine(effects);
+        if verdict == Verdict::Unchanged {
+            return;
+        }
+        let crashes = self.crashes.crashes(digest);
+        effects.push(Effect::Note(Note::UpstreamCrashed {
+            upstream,
+            digest,
+            crashes,
+        }));
+        if verdict == Verdict::Quarantined {
+            effects.push(Effect::Quarantine(digest));
+            effects.push(Effect::Note(Note::Quarantined(digest)));
+        }
+    }
+
+    /// Records that an upstream has replied to a request, which acquits it.
+    pub(super) fn on_request_answered(
+        &mut self,
+        now: Time,
+        digest: u64,
+        service: &ServiceName,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        if self.crashes.record_reply(now, digest, service) {
+            effects.push(Effect::Note(Note::QuarantineEnded(digest)));
+        }
+    }
+
+    /// Applies a quarantine that another instance has published.
+    pub(super) fn on_quarantine(&mut self, now: Time, digest: u64, effects: &mut Vec<Effect<C>>) {
+        if self.crashes.quarantine(now, digest, PUBLISHED_PERIOD) {
+            effects.push(Effect::Note(Note::QuarantineLearned(digest)));
+        }
+        self.note_dropped_quarantine(effects);
+    }
+
+    fn note_dropped_quarantine(&mut self, effects: &mut Vec<Effect<C>>) {
+        let dropped = self.crashes.take_dropped();
+        effects.extend(dropped.map(|digest| Effect::Note(Note::QuarantineFull(digest))));
+    }
+}
+
+fn note_unconfirmed<C: Protocol>(dropped: usize, effects: &mut Vec<Effect<C>>) {
+    if dropped > 0 {
+        effects.push(Effect::Note(Note::CrashUnconfirmed(dropped)));
+    }
+}
--- a/crates/tier/src/tier/handovers.rs
+++ b/crates/tier/src/tier/handovers.rs
@@ -258,6 +258,13 @@
         };
         call.may_have_run |= may_have_run;
         call.may_have_run_elsewhere |= may_have_run;
+        if self
+            .crashes
+            .quarantine_left(now, call.head.digest)
+            .is_some()
+        {
+            return self.refuse(now, id, &mut call, Refusal::Quarantined, effects);
+        }
         if let Some(call) = self.hand_over(now, id, call, effects) {
             self.run_locally(now, id, call, effects);
         }
--- a/crates/tier/src/tier/outcomes.rs
+++ b/crates/tier/src/tier/outcomes.rs
@@ -1,4 +1,4 @@
-//! Statistics of upstreams and routes, and detection of crashing requests, from attempt outcomes.
+//! Statistics of upstreams and routes, from attempt outcomes.
 
 use std::time::Duration;
 
@@ -6,8 +6,10 @@
 
 use super::{Attempt, Tier};
 use crate::{
+    crash::suspicion::BROKEN_CHECK_DELAY,
     effect::{Effect, Note},
     event::{AttemptKey, Failure, Outcome, Protocol, Reply},
+    timers::Due,
 };
 
 /// Latency sample recorded for a rejected request, as a multiple of the route's mean.
@@ -51,14 +53,24 @@
             }
             Outcome::Failed(_) => {}
         }
+        if matches!(
+            outcome,
+            Outcome::Reply(_) | Outcome::Failed(Failure::NotRun)
+        ) {
+            upstream.answered_since = upstream.answered_since.max(Some(attempt.sent));
+        }
         match outcome {
             Outcome::Reply(reply) => {
                 upstream.latency_ratio.add(now, took, mean_latency);
                 upstream.rejection_rate.add(now, false);
                 upstream.replied_at = Some(now);
-                if reply.is_success() {
+                let service = upstream.entry.service.clone();
+                let is_success = reply.is_success();
+                if is_success {
                     upstream.succeeded();
-                } else {
+                }
+                self.on_request_answered(now, attempt.digest, &service, effects);
+                if !is_success {
                     self.record_failure(now, attempt, Failure::Malformed, effects);
                 }
             }
@@ -74,19 +86,8 @@
         }
     }
 
-    /// Applies a quarantine that another instance has published.
-    pub(super) fn on_quarantine(&mut self, now: Time, digest: u64, effects: &mut Vec<Effect<C>>) {
-        let is_known = self.crashes.is_quarantined(now, digest);
-        let note = match self.crashes.quarantine(now, digest) {
-            true if is_known => return,
-            true => Note::QuarantineLearned(digest),
-            false => Note::QuarantineFull(digest),
-        };
-        effects.push(Effect::Note(note));
-    }
-
-    /// Records a failure of an upstream: ejects it if it has failed too often, and counts crashes
-    /// that its requests may have caused.
+    /// Records a failure of an upstream: ejects it if it has failed too often, and suspects the
+    /// request if it may have crashed the upstream.
     fn record_failure(
         &mut self,
         now: Time,
@@ -96,6 +97,8 @@
     ) {
         let key = attempt.upstream;
         if failure == Failure::Misdirected {
+            // The address belongs to another upstream, so this one is gone.
+            self.on_upstream_crashed(now, key, effects);
             if let Some(removed) = self.directory.force_remove(key) {
                 self.forget(removed, effects);
             }
@@ -111,25 +114,12 @@
                 name, service, failure, ejection,
             )));
         }
-        let name = upstream.entry.name.clone();
-        let suspects = self.directory.suspects.entry(key).or_default();
-        if failure == Failure::Broken {
-            let forgotten = suspects.connection_broke(now, attempt.digest, attempt.call);
-            effects.push(Effect::Note(Note::CrashSuspected { forgotten }));
-        }
-        if is_unreachable {
-            for (digest, call) in suspects.confirmed(now) {
-                let is_quarantined = self.crashes.record_crash(now, digest, call);
-                effects.push(Effect::Note(Note::UpstreamCrashed {
-                    upstream: name.clone(),
-                    digest,
-                    calls: self.crashes.calls(digest),
-                }));
-                if is_quarantined {
-                    effects.push(Effect::Quarantine(digest));
-                    effects.push(Effect::Note(Note::Quarantined(digest)));
-                }
+        match failure {
+            Failure::Broken => self.suspect(now, attempt, BROKEN_CHECK_DELAY, effects),
+            Failure::Unreachable if self.suspicions.has(key) => {
+                self.timers.set(now, Due::CheckSuspect(key));
             }
+            _ => {}
         }
     }
 }
--- a/crates/tier/src/tier/updates.rs
+++ b/crates/tier/src/tier/updates.rs
@@ -8,6 +8,7 @@
 use super::Tier;
 use crate::{
     config::{Config, Target},
+    crash::suspicion::ProbeResult,
     directory::Change,
     effect::{Effect, Note},
     event::Protocol,
@@ -57,6 +58,7 @@
         let absent = self.directory.absent(&entries);
         let mut seen = 0;
         for entry in entries {
+            self.detect_restart(now, &entry, effects);
             // New upstreams are only counted here; a log line for each would be hundreds at a
             // start.
             match self.directory.upsert(now, entry) {
@@ -86,6 +88,7 @@
         effects: &mut Vec<Effect<C>>,
     ) {
         let (name, service, address) = (entry.name.clone(), entry.service.clone(), entry.address);
+        self.detect_restart(now, &entry, effects);
         match self.directory.upsert(now, entry) {
             Change::None => {}
             Change::New(_) => {
@@ -194,14 +197,19 @@
         &mut self,
         now: Time,
         key: UpstreamKey,
-        ok: bool,
+        result: ProbeResult,
         effects: &mut Vec<Effect<C>>,
     ) {
-        if ok {
+        self.on_suspect_probed(now, key, result, effects);
+        if !self.reachability.is_cut_off() && !self.reachability.lacks_shards() {
+            return;
+        }
+        let is_up = result == ProbeResult::Accepted;
+        if is_up {
             self.on_upstream_replied(now, effects);
         }
         if let Some(upstream) = self.directory.get_mut(key) {
-            if ok {
+            if is_up {
                 upstream.succeeded();
                 upstream.ejected_until = now;
             } else {
--- a/crates/tier/src/timers.rs
+++ b/crates/tier/src/timers.rs
@@ -5,7 +5,7 @@
 
 use base::{CallId, Time};
 
-use crate::event::AttemptKey;
+use crate::{event::AttemptKey, upstream::UpstreamKey};
 
 /// Granularity of timers in microseconds; firing several together saves wake-ups.
 const GRANULARITY_US: u64 = 1_000;
@@ -29,6 +29,8 @@
     Probe,
     /// Removals are no longer held.
     Removals,
+    /// An upstream with suspected requests is checked.
+    CheckSuspect(UpstreamKey),
 }
 
 /// Queue of timers, earliest first.
--- a/crates/tier/src/upstream.rs
+++ b/crates/tier/src/upstream.rs
@@ -72,6 +72,8 @@
     pub full_until: Time,
     /// Time of the last reply; its connection is kept open for a while after that.
     pub replied_at: Option<Time>,
+    /// Time at which the latest request that was answered or rejected had been sent.
+    pub answered_since: Option<Time>,
     failures: u32,
     ejections: u32,
 }
@@ -89,6 +91,7 @@
             ejected_until: Time::ZERO,
             full_until: Time::ZERO,
             replied_at: None,
+            answered_since: None,
             failures: 0,
             ejections: 0,
         }
--- a/crates/tier/tests/crashing/world.rs
+++ b/crates/tier/tests/crashing/world.rs
@@ -12,6 +12,7 @@
     Answer, AttemptKey, Config, Effect, Entry, Event, Failure, Head, Instance, Origin, Outcome,
     Protocol, Refusal, Route, Settings, Target, Tier, UpstreamKey,
     config::{Gather, Limits, Service},
+    crash::suspicion::ProbeResult,
 };
 
 use super::SETTLE_WINDOW;
@@ -175,7 +176,7 @@
     Done(usize, u64, Sent, u64),
     Outcome(Sent, Option<Failure>),
     /// A probe by an instance, of this start, has ended.
-    Probed(usize, u32, UpstreamKey, bool),
+    Probed(usize, u32, UpstreamKey, ProbeResult),
     /// An upstream is back.
     Back(usize, bool),
     Mend(usize),
@@ -358,8 +359,8 @@
                 let outcome = failure.map_or_else(reply, Outcome::Failed);
                 self.deliver(sent.instance, Event::AttemptEnded(sent.attempt, outcome));
             }
-            Step::Probed(instance, start, key, ok) if start == self.starts[instance] => {
-                self.deliver(instance, Event::Probed(key, ok));
+            Step::Probed(instance, start, key, result) if start == self.starts[instance] => {
+                self.deliver(instance, Event::Probed(key, result));
             }
             Step::Probed(..) => {}
             Step::Back(upstream, has_new_name) => self.back(upstream, has_new_name),
@@ -466,12 +467,13 @@
             Effect::Probe(key, address) => {
                 let upstream = &self.upstreams[usize::from(address.port())];
                 let is_up = upstream.down_until.is_none();
-                let (after, ok) = match upstream.is_silent && !is_up || upstream.is_cut {
-                    true => (CONNECT_TIMEOUT, false),
-                    false => (DELAY * 2, is_up),
+                let (after, result) = match upstream.is_silent && !is_up || upstream.is_cut {
+                    true => (CONNECT_TIMEOUT, ProbeResult::Unanswered),
+                    false if is_up => (DELAY * 2, ProbeResult::Accepted),
+                    false => (DELAY * 2, ProbeResult::Refused),
                 };
                 let start = self.starts[instance];
-                self.schedule(after, Step::Probed(instance, start, key, ok));
+                self.schedule(after, Step::Probed(instance, start, key, result));
             }
             Effect::Quarantine(digest) => self.unwritten[instance].push(digest),
             _ => {}
--- a/crates/tier/tests/decisions.rs
+++ b/crates/tier/tests/decisions.rs
@@ -2,14 +2,17 @@
 
 use std::time::Duration;
 
-use base::{CallId, ServiceName, Time};
+use base::{ServiceName, Time};
 use bytes::Bytes;
 use quickcheck::quickcheck;
 use tier::{
     Entry,
     budget::{Bound, ExtraAttempts},
     completion::{Decision, Progress, decide},
-    crash::{CrashTracker, SuspectRequests},
+    crash::{
+        Crash,
+        tracker::{CrashTracker, Verdict},
+    },
     directory::{Change, Directory},
     merge::greatest,
     retry_after::RetrySchedule,
@@ -190,19 +193,92 @@
     assert!(slots.iter().all(|slot| *slot < left / 3));
 }
 
+fn crash(call: u64, upstream: &str, ms: u64) -> Crash {
+    Crash {
+        digest: 7,
+        call,
+        service: "s".parse().unwrap(),
+        upstream: upstream.parse().unwrap(),
+        at: at(ms),
+    }
+}
+
 #[test]
-fn a_request_is_quarantined_after_crashes_of_two_calls() {
-    let (first, again) = (CallId::default(), CallId::default().next());
-    let mut suspects = SuspectRequests::default();
+fn a_request_is_quarantined_after_crashes_of_three_upstreams_by_two_calls() {
     let mut crashes = CrashTracker::default();
-    // A lost reply alone does not count as a crash.
-    suspects.connection_broke(at(0), 7, first);
-    assert!(!crashes.is_quarantined(at(1), 7));
     // During a network partition, one call may appear to crash many upstreams.
-    assert_eq!(suspects.confirmed(at(500)), [(7, first)]);
-    for _ in 0..20 {
-        assert!(!crashes.record_crash(at(500), 7, first));
+    for upstream in 0..20 {
+        let crash = crash(1, &format!("u-{upstream}"), 500);
+        assert_ne!(crashes.record_crash(at(500), crash), Verdict::Quarantined);
+    }
+    // A rack that fails ends the upstreams of several calls at one time.
+    let again = crash(2, "v-1", 550);
+    assert_eq!(crashes.record_crash(at(550), again), Verdict::Suspected);
+    assert!(crashes.quarantine_left(at(560), 7).is_none());
+    let later = crash(2, "v-2", 900);
+    assert_eq!(crashes.record_crash(at(900), later), Verdict::Quarantined);
+    assert!(crashes.quarantine_left(at(1_000), 7).is_some());
+}
+
+#[test]
+fn a_crash_that_two_instances_report_counts_once() {
+    let mut crashes = CrashTracker::default();
+    for (call, ms) in [(1, 0), (2, 300), (3, 301), (4, 310)] {
+        let crash = crash(call, "u", ms);
+        assert_ne!(crashes.record_crash(at(ms), crash), Verdict::Quarantined);
+    }
+}
+
+#[test]
+fn a_reply_acquits_a_request() {
+    let mut crashes = CrashTracker::default();
+    let service: ServiceName = "s".parse().unwrap();
+    for (call, ms) in [(1, 0), (2, 300)] {
+        crashes.record_crash(at(ms), crash(call, &format!("u-{call}"), ms));
+    }
+    assert!(!crashes.record_reply(at(400), 7, &service));
+    let third = crash(3, "u-3", 500);
+    assert_eq!(crashes.record_crash(at(500), third), Verdict::Unchanged);
+    // An old reply does not: the data may have changed since.
+    for (call, ms) in [(4, 9_000), (5, 9_300)] {
+        let crash = crash(call, &format!("u-{call}"), ms);
+        assert_eq!(crashes.record_crash(at(ms), crash), Verdict::Suspected);
+    }
+    let sixth = crash(6, "u-6", 9_600);
+    assert_eq!(crashes.record_crash(at(9_600), sixth), Verdict::Quarantined);
+    assert!(crashes.record_reply(at(9_700), 7, &service));
+    assert!(crashes.quarantine_left(at(9_800), 7).is_none());
+}
+
+#[test]
+fn a_reply_of_one_shard_does_not_acquit_a_request_that_crashes_another() {
+    let mut crashes = CrashTracker::default();
+    let other: ServiceName = "other".parse().unwrap();
+    let mut verdict = Verdict::Unchanged;
+    for (call, ms) in [(1, 0), (2, 300), (3, 600)] {
+        crashes.record_reply(at(ms), 7, &other);
+        verdict = crashes.record_crash(at(ms), crash(call, &format!("u-{call}"), ms));
+    }
+    assert_eq!(verdict, Verdict::Quarantined);
+}
+
+#[test]
+fn a_full_table_keeps_its_quarantines() {
+    let mut crashes = CrashTracker::default();
+    crashes.quarantine(at(0), 7, Duration::from_secs(60));
+    for digest in 100..3_000 {
+        crashes.record_crash(
+            at(1),
+            Crash {
+                digest,
+                ..crash(1, "u", 1)
+            },
+        );
+    }
+    assert!(crashes.quarantine_left(at(2), 7).is_some());
+    assert_eq!(crashes.take_dropped(), None);
+    for digest in 3_000..5_000 {
+        crashes.quarantine(at(3), digest, Duration::from_secs(60));
     }
-    assert!(crashes.record_crash(at(900), 7, again));
-    assert!(crashes.is_quarantined(at(1_000), 7));
+    assert!(crashes.take_dropped().is_some());
 }
--- a/crates/tier/tests/simulation.rs
+++ b/crates/tier/tests/simulation.rs
@@ -17,7 +17,7 @@
 use rand::{Rng, rngs::SmallRng};
 use tier::{
     Answer, AttemptKey, Effect, Event, Failure, HandOverOutcome, Head, LimitedShard, Origin,
-    Outcome, Tier, effect::HandOver,
+    Outcome, Tier, crash::suspicion::ProbeResult, effect::HandOver,
 };
 
 pub(crate) use build::SimulationConfig;
@@ -254,8 +254,12 @@
             }
             Effect::Probe(key, address) => {
                 let it = &self.upstreams[usize::from(address.port())];
-                let ok = !it.is_down && !it.is_partitioned;
-                self.deliver(instance, Event::Probed(key, ok));
+                let result = match (it.is_partitioned, it.is_down) {
+                    (true, _) => ProbeResult::Unanswered,
+                    (false, true) => ProbeResult::Refused,
+                    (false, false) => ProbeResult::Accepted,
+                };
+                self.deliver(instance, Event::Probed(key, result));
             }
             Effect::Forget(_) | Effect::Quarantine(_) | Effect::Note(_) => {}
         }
