tier, briarcove: count crashes of one request across instances, and tell all

What callers saw: with the store away, or when each instance saw few of the crashes, a request went on ending upstreams at every instance that had not counted far enough itself.

Change: a crash is reported to three collectors, chosen by rendezvous hashing of the digest among the instances that are not ejected; a report that could not be written goes to the next one. The one that reaches the verdict tells all instances directly (up to 256) and publishes it; a collector answers a report of a quarantined request with the verdict, so that an instance that missed it learns it from its first crash. A reply is reported like a crash, and ends a quarantine everywhere, in the store too.

--- a/crates/briarcove/src/edge/peers/channel.rs
+++ b/crates/briarcove/src/edge/peers/channel.rs
@@ -44,6 +44,11 @@
         }
     }
 
+    /// Removes and returns the unsent items.
+    pub(super) fn take_unsent(&self) -> VecDeque<T> {
+        self.queue.take()
+    }
+
     /// Keeps only those unsent items for which `is_kept` returns true.
     pub(super) fn retain(&self, is_kept: impl FnMut(&T) -> bool) {
         self.queue.borrow_mut().retain(is_kept);
--- a/crates/briarcove/src/edge/peers/incoming.rs
+++ b/crates/briarcove/src/edge/peers/incoming.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, io, rc::Rc, time::Duration};
 
-use base::CallId;
+use base::{CallId, InstanceName};
 use compio::{
     net::{TcpListener, TcpStream},
     runtime::{JoinHandle, fd::PollFd, spawn},
@@ -14,8 +14,8 @@
 use platform::{CallerRequest, answer};
 use slog::{debug, warn};
 use socket2::Socket;
-use tier::{Answer, Event, Origin, event::BranchHead};
-use wire::handover::{Done, HandOver, LimitedShard, Payload};
+use tier::{Answer, Event, Origin, crash::Crash, event::BranchHead};
+use wire::handover::{CrashReport, Done, HandOver, LimitedShard, Payload, Quarantined};
 
 use super::{channel::Channel, from_frame, to_frame};
 use crate::edge::shell::{PendingCall, Shell};
@@ -81,6 +81,20 @@
                 Payload::Ping(_) => channel.push(Payload::Pong(true)),
                 Payload::Follow(follow) => shell.feed.add_follower(&channel, follow),
                 Payload::Unfollow(_) => shell.feed.remove_follower(&channel),
+                Payload::Crash(report) => match parse_crash(shell, report) {
+                    Some((from, crash)) => shell.dispatch(Event::CrashReported(from, crash)),
+                    None => warn!(shell.log, "ignoring an invalid report of a crash"),
+                },
+                Payload::Reply(report) => match report.service.parse() {
+                    Ok(service) => shell.dispatch(Event::ReplyReported(report.digest, service)),
+                    Err(e) => {
+                        warn!(shell.log, "ignoring an invalid report of a reply"; "error" => %e);
+                    }
+                },
+                Payload::Quarantine(Quarantined { digest, left_ms }) => {
+                    let left = Duration::from_millis(left_ms);
+                    shell.dispatch(Event::QuarantineShared(digest, left));
+                }
                 Payload::HandOver(_)
                 | Payload::Accepted(_)
                 | Payload::Done(_)
@@ -98,6 +112,18 @@
     result
 }
 
+/// Returns the sender of a report and the crash; `None` if a name is invalid.
+fn parse_crash(shell: &Shell, report: CrashReport) -> Option<(InstanceName, Crash)> {
+    let crash = Crash {
+        digest: report.digest,
+        call: report.call,
+        service: report.service.parse().ok()?,
+        upstream: report.upstream.parse().ok()?,
+        at: shell.now() - Duration::from_micros(report.age_us),
+    };
+    Some((report.from.parse().ok()?, crash))
+}
+
 /// Starts a search for another instance.
 fn start_search(
     shell: &Rc<Shell>,
--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -14,8 +14,8 @@
 use platform::{CallerRequest, UpstreamReply};
 use slog::{debug, warn};
 use socket2::Socket;
-use tier::{Event, HandOverOutcome, Instance, LimitedShard, effect::HandOver};
-use wire::handover::{self, Branch, Done, Follow, Frame, Payload};
+use tier::{Event, HandOverOutcome, Instance, LimitedShard, crash::Crash, effect::HandOver};
+use wire::handover::{self, Branch, CrashReport, Done, Follow, Frame, Payload};
 
 use super::{channel::Channel, from_frame, to_frame};
 use crate::edge::shell::Shell;
@@ -30,6 +30,7 @@
 /// An item in the send queue of a connection.
 enum Item {
     Search(HandOver<Rc<CallerRequest>>),
+    Crash(Crash),
     Payload(Payload),
 }
 
@@ -70,6 +71,25 @@
         peer.channel.push(Item::Search(search));
     }
 
+    /// Reports a crash to another instance.
+    pub(in crate::edge) fn report_crash(
+        &self,
+        shell: &Rc<Shell>,
+        instance: &Instance,
+        crash: Crash,
+    ) {
+        let peer = self.get_or_connect(shell, &instance.name, instance.address);
+        peer.channel.push(Item::Crash(crash));
+    }
+
+    /// Sends a message to other instances; it is lost for those that are unreachable.
+    pub(in crate::edge) fn notify(&self, shell: &Rc<Shell>, to: &[Instance], payload: &Payload) {
+        for instance in to {
+            let peer = self.get_or_connect(shell, &instance.name, instance.address);
+            peer.channel.push(Item::Payload(payload.clone()));
+        }
+    }
+
     /// Withdraws a search whose answer is no longer needed.
     pub(in crate::edge) fn withdraw(&self, call: CallId, from: &InstanceName) {
         let peer = self.0.borrow().get(from).cloned();
@@ -102,7 +122,7 @@
         let peer = self.0.borrow_mut().remove(name);
         if let Some(peer) = peer {
             drop(peer.task.take());
-            peer.end_searches(shell);
+            peer.end(shell, name);
         }
     }
 
@@ -135,8 +155,9 @@
 }
 
 impl Peer {
-    /// Ends the pending searches; those whose frame was not written have not run.
-    fn end_searches(&self, shell: &Rc<Shell>) {
+    /// Ends the pending searches; those whose frame was not written have not run. Reports that were
+    /// not written go back to the reducer.
+    fn end(&self, shell: &Rc<Shell>, name: &InstanceName) {
         drop(self.updates.take());
         let pending = std::mem::take(&mut *self.pending.borrow_mut());
         for (call, was_sent) in pending {
@@ -148,12 +169,18 @@
             shell.metrics.count_hand_over(&outcome);
             shell.dispatch(Event::HandOverEnded(call, outcome));
         }
+        for item in self.channel.take_unsent() {
+            if let Item::Crash(crash) = item {
+                shell.dispatch(Event::ReportLost(name.clone(), crash));
+            }
+        }
     }
 
     /// Encodes an item; `None` for a search that is no longer pending.
     fn encode(&self, shell: &Shell, item: Item) -> Option<Frame> {
         let search = match item {
             Item::Payload(payload) => return Some(payload.into()),
+            Item::Crash(crash) => return Some(Payload::Crash(to_report(shell, &crash)).into()),
             Item::Search(search) => search,
         };
         *self.pending.borrow_mut().get_mut(&search.call)? = true;
@@ -227,7 +254,10 @@
             | Payload::Confirmed(_)
             | Payload::Ping(_)
             | Payload::Follow(_)
-            | Payload::Unfollow(_) => {
+            | Payload::Unfollow(_)
+            | Payload::Crash(_)
+            | Payload::Reply(_)
+            | Payload::Quarantine(_) => {
                 warn!(shell.log, "ignoring a request on a connection that is for answers only";
                     "from" => %name);
             }
@@ -244,6 +274,17 @@
     (done.status != 0).then(|| limited_shards.collect())
 }
 
+fn to_report(shell: &Shell, crash: &Crash) -> CrashReport {
+    CrashReport {
+        from: shell.cfg.borrow().instance.to_string(),
+        digest: crash.digest,
+        call: crash.call,
+        service: crash.service.to_string(),
+        upstream: crash.upstream.to_string(),
+        age_us: micros(shell.now().since(crash.at)),
+    }
+}
+
 fn micros(time: Duration) -> u64 {
     u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
 }
@@ -289,7 +330,7 @@
     if let Some(task) = peer.task.take() {
         task.detach();
     }
-    peer.end_searches(&shell);
+    peer.end(&shell, &name);
 }
 
 async fn connect(address: SocketAddr) -> io::Result<PollFd<Socket>> {
--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -2,7 +2,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     path::PathBuf,
     rc::Rc,
     time::{Duration, Instant},
@@ -16,6 +16,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use slog::Logger;
 use tier::{Answer, AttemptKey, Effect, Event, Settings, Tier};
+use wire::handover::{Payload, Quarantined, ReplyReport};
 
 use super::{
     callers::Connections,
@@ -43,6 +44,8 @@
     pub(super) feed: Feed,
     /// Digests of quarantined requests that are not yet written to the store for other instances.
     pub(super) pending_quarantines: RefCell<VecDeque<u64>>,
+    /// Digests of requests whose quarantine has ended and may still be in the store.
+    pub(super) ended_quarantines: RefCell<HashSet<u64>>,
     started_at: Instant,
     tier: RefCell<Tier<Http>>,
     /// Events that wait for the reducer, as executing an effect may dispatch further events.
@@ -70,6 +73,7 @@
             peers: Peers::default(),
             feed: Feed::default(),
             pending_quarantines: RefCell::default(),
+            ended_quarantines: RefCell::default(),
             started_at: Instant::now(),
             queue: RefCell::default(),
             is_dispatching: Cell::new(false),
@@ -200,7 +204,31 @@
                 let shell = Rc::clone(self);
                 spawn(super::upstreams::probe_upstream(shell, upstream, address)).detach();
             }
-            Effect::Quarantine(digest) => self.pending_quarantines.borrow_mut().push_back(digest),
+            Effect::Quarantine(digest) => {
+                self.ended_quarantines.borrow_mut().remove(&digest);
+                self.pending_quarantines.borrow_mut().push_back(digest);
+            }
+            Effect::Unquarantine(digest) => {
+                self.pending_quarantines
+                    .borrow_mut()
+                    .retain(|it| *it != digest);
+                self.ended_quarantines.borrow_mut().insert(digest);
+            }
+            Effect::ReportCrash(crash, to) => {
+                for instance in &to {
+                    self.peers.report_crash(self, instance, crash.clone());
+                }
+            }
+            Effect::ReportReply(digest, service, to) => {
+                let service = service.to_string();
+                let report = Payload::Reply(ReplyReport { digest, service });
+                self.peers.notify(self, &to, &report);
+            }
+            Effect::ShareQuarantine(digest, left, to) => {
+                let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
+                let quarantined = Payload::Quarantine(Quarantined { digest, left_ms });
+                self.peers.notify(self, &to, &quarantined);
+            }
             Effect::Note(note) => {
                 self.metrics.count_note(&note);
                 self.note_log.write(self.now(), &note);
--- a/crates/briarcove/src/edge/sync.rs
+++ b/crates/briarcove/src/edge/sync.rs
@@ -268,11 +268,7 @@
         };
         sync.shell.metrics.count_store_call("probe", "ok");
         sync.set_store_lost(false);
-        for object in &listed.objects {
-            if let Ok(digest) = u64::from_str_radix(&object.name, 16) {
-                sync.shell.dispatch(Event::Quarantine(digest));
-            }
-        }
+        apply_quarantines(&sync, &mut store, &listed.objects).await;
         sync.note_records_revision(&listed.objects);
         if sync.is_unexplained(listed.revision) && unexplained == 0 {
             // The watch may be about to deliver the change, or another instance has written its
@@ -304,6 +300,27 @@
     }
 }
 
+/// Applies the published quarantines, and removes those that this instance has ended.
+async fn apply_quarantines(sync: &Sync, store: &mut Store, objects: &[Object]) {
+    for object in objects {
+        let Ok(digest) = u64::from_str_radix(&object.name, 16) else {
+            continue;
+        };
+        let has_ended = sync.shell.ended_quarantines.borrow().contains(&digest);
+        if !has_ended {
+            sync.shell.dispatch(Event::Quarantine(digest));
+            continue;
+        }
+        let removed = store.remove(QUARANTINE_KIND, &object.name, object.revision);
+        match removed.await {
+            Ok(()) | Err(Error::Conflict) => {
+                sync.shell.ended_quarantines.borrow_mut().remove(&digest);
+            }
+            Err(e) => warn!(sync.shell.log, "failed to remove an ended quarantine"; "error" => %e),
+        }
+    }
+}
+
 /// Writes the next digest of a quarantined request to the store for the other instances.
 async fn publish_quarantine(sync: &Sync, store: &mut Store) {
     let next = sync.shell.pending_quarantines.borrow().front().copied();
--- a/crates/tier/src/crash/tracker.rs
+++ b/crates/tier/src/crash/tracker.rs
@@ -77,6 +77,17 @@
     Quarantined,
 }
 
+/// The effect of a reply on the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Acquittal {
+    /// No crash counted against the request.
+    Unneeded,
+    /// Crashes no longer count against the request.
+    Acquitted,
+    /// Neither do they, and its quarantine has ended.
+    Released,
+}
+
 impl Default for CrashTracker {
     fn default() -> Self {
         Self {
@@ -119,22 +130,27 @@
         Verdict::Quarantined
     }
 
-    /// Records that an upstream has replied to a request, whatever the reply; returns whether that
-    /// ends a quarantine.
-    pub fn record_reply(&mut self, now: Time, digest: u64, service: &ServiceName) -> bool {
+    /// Records that an upstream has replied to a request, whatever the reply.
+    pub fn record_reply(&mut self, now: Time, digest: u64, service: &ServiceName) -> Acquittal {
         let key = reply_key(digest, service);
         self.replies[slot(key)] = (key, now);
         let Some(record) = self.records.get_mut(&digest) else {
-            return false;
+            return Acquittal::Unneeded;
         };
         let before = record.crashes.len();
         record.crashes.retain(|crash| crash.service != *service);
-        let is_acquitted = record.crashes.len() < before && !record.is_conclusive();
-        is_acquitted
+        if record.crashes.len() == before {
+            return Acquittal::Unneeded;
+        }
+        if !record.is_conclusive()
             && record
                 .quarantined_until
                 .take()
                 .is_some_and(|until| until > now)
+        {
+            return Acquittal::Released;
+        }
+        Acquittal::Acquitted
     }
 
     /// Returns whether an upstream of a service has replied to a request shortly before a time, or
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -6,7 +6,9 @@
 use bytes::Bytes;
 
 use crate::{
+    crash::Crash,
     event::{AttemptKey, Failure, Protocol},
+    handover::Instance,
     upstream::UpstreamKey,
 };
 
@@ -33,8 +35,17 @@
     Forget(UpstreamKey),
     /// Probes whether an upstream accepts connections.
     Probe(UpstreamKey, SocketAddr),
-    /// Shares a quarantined request, given by its digest, with the other instances.
+    /// Publishes a quarantined request, given by its digest, on the platform.
     Quarantine(u64),
+    /// Removes what was published of a request that is no longer quarantined.
+    Unquarantine(u64),
+    /// Reports a crash to the instances that count those of its request.
+    ReportCrash(Crash, Vec<Instance>),
+    /// Reports to these instances that an upstream of a service has replied to a request.
+    ReportReply(u64, ServiceName, Vec<Instance>),
+    /// Notifies other instances of the time for which a request stays quarantined; zero when its
+    /// quarantine has ended.
+    ShareQuarantine(u64, Duration, Vec<Instance>),
     /// Reports to logs and metrics.
     Note(Note),
 }
--- a/crates/tier/src/event.rs
+++ b/crates/tier/src/event.rs
@@ -2,12 +2,12 @@
 
 use std::{rc::Rc, time::Duration};
 
-use base::{CallId, InstanceName, UpstreamName};
+use base::{CallId, InstanceName, ServiceName, UpstreamName};
 use bytes::Bytes;
 
 use crate::{
     config::Config,
-    crash::suspicion::ProbeResult,
+    crash::{Crash, suspicion::ProbeResult},
     effect::LimitedShard,
     handover::Instance,
     settings::Settings,
@@ -67,8 +67,16 @@
     Confirmed(CallId),
     /// Another instance has accepted a search or answered a ping.
     InstanceAlive(InstanceName),
-    /// Another instance has quarantined a request, given by its digest.
+    /// The platform lists a request that another instance has quarantined, given by its digest.
     Quarantine(u64),
+    /// An instance reports a crash.
+    CrashReported(InstanceName, Crash),
+    /// The report of a crash could not be sent to an instance.
+    ReportLost(InstanceName, Crash),
+    /// An instance reports that an upstream of a service has replied to a request.
+    ReplyReported(u64, ServiceName),
+    /// An instance has quarantined a request for a time, or ended its quarantine if that is zero.
+    QuarantineShared(u64, Duration),
     /// The platform is unavailable.
     PlatformLost,
     /// The platform is available again.
--- a/crates/tier/src/handover.rs
+++ b/crates/tier/src/handover.rs
@@ -12,7 +12,8 @@
 use std::{net::SocketAddr, time::Duration};
 
 use base::{DataCentre, InstanceName, Time};
-use rand::Rng;
+use rand::{Rng, seq::IteratorRandom};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// CPU time for one part on a whole core: `edge-load` shows 0.09 ms on a kept connection and twice
 /// that on a new one.
@@ -41,6 +42,14 @@
 /// among all instances; those instances query the service only when no branch instance can.
 const REMOTE_WEIGHT: f64 = 0.25;
 
+/// Number of instances that count the upstreams that a request has crashed, so that some of them
+/// are up and reachable at any time.
+const COLLECTORS: usize = 3;
+
+/// Maximum number of instances that one tells something at once: each takes a connection. The others
+/// learn it from the platform.
+const MAX_AUDIENCE: usize = 256;
+
 /// Maximum time since an instance's last activity for it to stay in use when another instance of
 /// its data centre is silent.
 const RECENT_ACTIVITY: Duration = Duration::from_secs(1);
@@ -228,6 +237,36 @@
         others.map(|peer| peer.instance.name.clone()).collect()
     }
 
+    /// Returns the collectors of a request, this instance left out: the instances that count the
+    /// upstreams that it has crashed, the same on each instance that reaches the same ones.
+    pub fn collectors(&self, now: Time, own: &str, digest: u64) -> Vec<&Instance> {
+        let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), digest);
+        let own_rank = rank(own);
+        let usable = self.peers.iter().filter(|peer| peer.ejected_until <= now);
+        let mut ranked: Vec<(u64, &Instance)> = usable
+            .map(|peer| (rank(peer.instance.name.as_str()), &peer.instance))
+            .collect();
+        ranked.sort_unstable_by_key(|(rank, _)| *rank);
+        let is_collector = ranked
+            .get(COLLECTORS - 1)
+            .is_none_or(|(last, _)| own_rank < *last);
+        ranked.truncate(COLLECTORS - usize::from(is_collector));
+        ranked.into_iter().map(|(_, instance)| instance).collect()
+    }
+
+    /// Returns the other instances, or a random choice of them if there are too many to tell each
+    /// of them something at once.
+    pub fn audience(&self, rng: &mut impl Rng) -> Vec<Instance> {
+        let all = self.peers.iter().map(|peer| peer.instance.clone());
+        all.choose_multiple(rng, MAX_AUDIENCE)
+    }
+
+    /// Returns another instance by its name.
+    pub fn get(&self, name: &InstanceName) -> Option<&Instance> {
+        let mut all = self.peers.iter().map(|peer| &peer.instance);
+        all.find(|instance| instance.name == *name)
+    }
+
     /// Counts a search that was handed over to an instance.
     pub fn add_pending(&mut self, name: &InstanceName) {
         if let Some(peer) = self.find(name) {
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -133,6 +133,14 @@
             Event::Confirmed(id) => self.on_confirmed(id, effects),
             Event::InstanceAlive(name) => self.instances.mark_alive(now, &name),
             Event::Quarantine(digest) => self.on_quarantine(now, digest, effects),
+            Event::CrashReported(from, crash) => self.on_crash_reported(now, &from, crash, effects),
+            Event::ReportLost(to, crash) => self.on_report_lost(now, to, crash, effects),
+            Event::ReplyReported(digest, service) => {
+                self.on_reply_reported(now, digest, &service, effects)
+            }
+            Event::QuarantineShared(digest, left) => {
+                self.on_quarantine_shared(now, digest, left, effects)
+            }
             Event::PlatformLost => self.on_platform_lost(effects),
             Event::PlatformBack => self.on_platform_back(now, effects),
             Event::Probed(key, result) => self.on_probed(now, key, result, effects),
--- a/crates/tier/src/tier/crashes.rs
+++ b/crates/tier/src/tier/crashes.rs
@@ -2,17 +2,18 @@
 
 use std::time::Duration;
 
-use base::{ServiceName, Time};
+use base::{InstanceName, ServiceName, Time};
 
 use super::{Attempt, Tier};
 use crate::{
     crash::{
         Crash,
         suspicion::{Check, PROBE_RETRY_DELAY, ProbeResult, SUSPICION_PERIOD},
-        tracker::Verdict,
+        tracker::{Acquittal, Verdict},
     },
     effect::{Effect, Note},
     event::Protocol,
+    handover::Instance,
     timers::Due,
     upstream::{Entry, UpstreamKey},
 };
@@ -115,16 +116,20 @@
         effects: &mut Vec<Effect<C>>,
     ) {
         for crash in self.suspicions.confirm(key) {
-            self.record_crash(now, crash, effects);
+            let digest = crash.digest;
+            if self.record_crash(now, crash.clone(), effects) == Verdict::Suspected {
+                let collectors = self.collectors(now, digest);
+                effects.push(Effect::ReportCrash(crash, collectors));
+            }
         }
     }
 
-    fn record_crash(&mut self, now: Time, crash: Crash, effects: &mut Vec<Effect<C>>) {
+    fn record_crash(&mut self, now: Time, crash: Crash, effects: &mut Vec<Effect<C>>) -> Verdict {
         let (digest, upstream) = (crash.digest, crash.upstream.clone());
         let verdict = self.crashes.record_crash(now, crash);
         self.note_dropped_quarantine(effects);
         if verdict == Verdict::Unchanged {
-            return;
+            return verdict;
         }
         let crashes = self.crashes.crashes(digest);
         effects.push(Effect::Note(Note::UpstreamCrashed {
@@ -135,6 +140,50 @@
         if verdict == Verdict::Quarantined {
             effects.push(Effect::Quarantine(digest));
             effects.push(Effect::Note(Note::Quarantined(digest)));
+            let audience = self.instances.audience(&mut self.rng);
+            let left = self.crashes.quarantine_left(now, digest);
+            let share = Effect::ShareQuarantine(digest, left.unwrap_or_default(), audience);
+            effects.push(share);
+        }
+        verdict
+    }
+
+    /// Returns the instances that collect the crashes of a request, besides this one.
+    fn collectors(&self, now: Time, digest: u64) -> Vec<Instance> {
+        let own = &self.settings.instance;
+        let collectors = self.instances.collectors(now, own, digest);
+        collectors.into_iter().cloned().collect()
+    }
+
+    /// Counts a crash that another instance has seen, and tells that one if the request is already
+    /// quarantined.
+    pub(super) fn on_crash_reported(
+        &mut self,
+        now: Time,
+        from: &InstanceName,
+        crash: Crash,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let digest = crash.digest;
+        let left = self.crashes.quarantine_left(now, digest);
+        self.record_crash(now, crash, effects);
+        let sender = self.instances.get(from).cloned();
+        if let (Some(left), Some(sender)) = (left, sender) {
+            effects.push(Effect::ShareQuarantine(digest, left, vec![sender]));
+        }
+    }
+
+    /// Sends the report of a crash to the next collector in place of one that was unreachable.
+    pub(super) fn on_report_lost(
+        &mut self,
+        now: Time,
+        to: InstanceName,
+        crash: Crash,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        self.eject_instance(now, to, effects);
+        if let Some(next) = self.collectors(now, crash.digest).pop() {
+            effects.push(Effect::ReportCrash(crash, vec![next]));
         }
     }
 
@@ -146,11 +195,56 @@
         service: &ServiceName,
         effects: &mut Vec<Effect<C>>,
     ) {
-        if self.crashes.record_reply(now, digest, service) {
+        let acquittal = self.crashes.record_reply(now, digest, service);
+        if acquittal != Acquittal::Unneeded {
+            let collectors = self.collectors(now, digest);
+            effects.push(Effect::ReportReply(digest, service.clone(), collectors));
+        }
+        self.apply_acquittal(digest, acquittal, effects);
+    }
+
+    /// Records a reply that another instance has received.
+    pub(super) fn on_reply_reported(
+        &mut self,
+        now: Time,
+        digest: u64,
+        service: &ServiceName,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let acquittal = self.crashes.record_reply(now, digest, service);
+        self.apply_acquittal(digest, acquittal, effects);
+    }
+
+    fn apply_acquittal(&mut self, digest: u64, acquittal: Acquittal, effects: &mut Vec<Effect<C>>) {
+        if acquittal == Acquittal::Released {
             effects.push(Effect::Note(Note::QuarantineEnded(digest)));
+            effects.push(Effect::Unquarantine(digest));
+            let audience = self.instances.audience(&mut self.rng);
+            effects.push(Effect::ShareQuarantine(digest, Duration::ZERO, audience));
         }
     }
 
+    /// Applies the quarantine of a request, or its end, on behalf of another instance.
+    pub(super) fn on_quarantine_shared(
+        &mut self,
+        now: Time,
+        digest: u64,
+        left: Duration,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let is_changed = match left.is_zero() {
+            true => self.crashes.release(now, digest),
+            false => self.crashes.quarantine(now, digest, left),
+        };
+        if is_changed {
+            effects.push(Effect::Note(match left.is_zero() {
+                true => Note::QuarantineEnded(digest),
+                false => Note::QuarantineLearned(digest),
+            }));
+        }
+        self.note_dropped_quarantine(effects);
+    }
+
     /// Applies a quarantine that another instance has published.
     pub(super) fn on_quarantine(&mut self, now: Time, digest: u64, effects: &mut Vec<Effect<C>>) {
         if self.crashes.quarantine(now, digest, PUBLISHED_PERIOD) {
--- a/crates/tier/tests/crashing/scenarios.rs
+++ b/crates/tier/tests/crashing/scenarios.rs
@@ -33,6 +33,15 @@
     });
 }
 
+#[test]
+fn a_crashing_request_is_sent_on_three_times_at_most_among_records_of_lost_instances() {
+    check(&Scenario {
+        stale_records: 40,
+        store_away: Some((Duration::from_millis(500), Duration::from_secs(60))),
+        ..Scenario::default()
+    });
+}
+
 #[test]
 fn a_crashing_request_is_sent_on_three_times_at_most_when_upstreams_end_in_silence() {
     check(&Scenario {
--- a/crates/tier/tests/crashing/world.rs
+++ b/crates/tier/tests/crashing/world.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
@@ -79,6 +80,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Scenario {
     pub(super) instances: usize,
+    /// Number of records of instances that are gone.
+    pub(super) stale_records: usize,
     /// Number of upstreams, over all services.
     pub(super) upstreams: usize,
     /// Number of shards; with more than one, all requests are searches.
@@ -109,6 +112,7 @@
     fn default() -> Self {
         Self {
             instances: 12,
+            stale_records: 0,
             upstreams: 24,
             shards: 1,
             idempotent: true,
@@ -183,6 +187,8 @@
     Entry(Entry),
     Lapse(String, u64),
     ReadStore(usize, u32),
+    /// A message of another instance arrives.
+    Told(usize, Event<Content>),
     Restart,
     Started(usize),
     Reset,
@@ -338,7 +344,8 @@
         self.started[instance] = self.now;
         self.starts[instance] += 1;
         let entries = self.upstreams.iter().map(|it| it.entry.clone()).collect();
-        let all = (0..self.scenario.instances).map(record).collect();
+        let records = self.scenario.instances + self.scenario.stale_records;
+        let all = (0..records).map(record).collect();
         self.deliver(instance, Event::Config(Rc::clone(&self.config)));
         self.deliver(instance, Event::EntriesListed(entries));
         self.deliver(instance, Event::Instances(all));
@@ -368,6 +375,7 @@
             Step::Entry(entry) => self.publish(|| Event::EntryChanged(entry.clone())),
             Step::Lapse(name, started) => self.lapse(&name, started),
             Step::ReadStore(instance, start) => self.read_store(instance, start),
+            Step::Told(instance, event) => self.deliver(instance, event),
             Step::Restart => {
                 let instance = self.rng.random_range(0..self.tiers.len());
                 if self.tiers[instance].take().is_some() {
@@ -475,11 +483,50 @@
                 let start = self.starts[instance];
                 self.schedule(after, Step::Probed(instance, start, key, result));
             }
+            Effect::ReportCrash(crash, to) => {
+                for other in to {
+                    let report =
+                        Event::CrashReported(name(instance).parse().unwrap(), crash.clone());
+                    let lost = Event::ReportLost(other.name, crash.clone());
+                    self.tell(instance, other.address, report, Some(lost));
+                }
+            }
+            Effect::ReportReply(digest, service, to) => {
+                for other in to {
+                    let report = Event::ReplyReported(digest, service.clone());
+                    self.tell(instance, other.address, report, None);
+                }
+            }
+            Effect::ShareQuarantine(digest, left, to) => {
+                for other in to {
+                    let shared = Event::QuarantineShared(digest, left);
+                    self.tell(instance, other.address, shared, None);
+                }
+            }
+            Effect::Unquarantine(digest) => {
+                self.stored.remove(&digest);
+            }
             Effect::Quarantine(digest) => self.unwritten[instance].push(digest),
             _ => {}
         }
     }
 
+    /// Delivers an event to another instance, or `lost` to the sender if the other one is down.
+    fn tell(
+        &mut self,
+        from: usize,
+        to: SocketAddr,
+        event: Event<Content>,
+        lost: Option<Event<Content>>,
+    ) {
+        let to = usize::from(to.port());
+        if self.tiers.get(to).is_some_and(Option::is_some) {
+            self.schedule(DELAY, Step::Told(to, event));
+        } else if let Some(lost) = lost {
+            self.schedule(DELAY * 2, Step::Told(from, lost));
+        }
+    }
+
     fn answer(&mut self, call: (usize, CallId), answer: &Answer<SimReply>) {
         let digest = self
             .calls
--- a/crates/tier/tests/decisions.rs
+++ b/crates/tier/tests/decisions.rs
@@ -11,7 +11,7 @@
     completion::{Decision, Progress, decide},
     crash::{
         Crash,
-        tracker::{CrashTracker, Verdict},
+        tracker::{Acquittal, CrashTracker, Verdict},
     },
     directory::{Change, Directory},
     merge::greatest,
@@ -236,7 +236,10 @@
     for (call, ms) in [(1, 0), (2, 300)] {
         crashes.record_crash(at(ms), crash(call, &format!("u-{call}"), ms));
     }
-    assert!(!crashes.record_reply(at(400), 7, &service));
+    assert_eq!(
+        crashes.record_reply(at(400), 7, &service),
+        Acquittal::Acquitted
+    );
     let third = crash(3, "u-3", 500);
     assert_eq!(crashes.record_crash(at(500), third), Verdict::Unchanged);
     // An old reply does not: the data may have changed since.
@@ -246,7 +249,10 @@
     }
     let sixth = crash(6, "u-6", 9_600);
     assert_eq!(crashes.record_crash(at(9_600), sixth), Verdict::Quarantined);
-    assert!(crashes.record_reply(at(9_700), 7, &service));
+    assert_eq!(
+        crashes.record_reply(at(9_700), 7, &service),
+        Acquittal::Released
+    );
     assert!(crashes.quarantine_left(at(9_800), 7).is_none());
 }
 
--- a/crates/tier/tests/simulation.rs
+++ b/crates/tier/tests/simulation.rs
@@ -261,7 +261,13 @@
                 };
                 self.deliver(instance, Event::Probed(key, result));
             }
-            Effect::Forget(_) | Effect::Quarantine(_) | Effect::Note(_) => {}
+            Effect::Forget(_)
+            | Effect::Quarantine(_)
+            | Effect::Unquarantine(_)
+            | Effect::ReportCrash(..)
+            | Effect::ReportReply(..)
+            | Effect::ShareQuarantine(..)
+            | Effect::Note(_) => {}
         }
     }
 
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -10,7 +10,10 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
     /// Content; `None` for a kind that this version does not know.
-    #[prost(oneof = "Payload", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
+    #[prost(
+        oneof = "Payload",
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15"
+    )]
     pub payload: Option<Payload>,
 }
 
@@ -58,6 +61,60 @@
     /// answer and has not run the search elsewhere.
     #[prost(uint64, tag = "12")]
     Confirmed(u64),
+    /// An upstream crashed while it ran a request.
+    #[prost(message, tag = "13")]
+    Crash(CrashReport),
+    /// An upstream has replied to a request that a crash was reported of.
+    #[prost(message, tag = "14")]
+    Reply(ReplyReport),
+    /// A request is quarantined, or no longer.
+    #[prost(message, tag = "15")]
+    Quarantine(Quarantined),
+}
+
+/// A crash of an upstream.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct CrashReport {
+    /// Name of the instance that observed it.
+    #[prost(string, tag = "1")]
+    pub from: String,
+    /// Digest of the request.
+    #[prost(fixed64, tag = "2")]
+    pub digest: u64,
+    /// Hash of the request's id.
+    #[prost(fixed64, tag = "3")]
+    pub call: u64,
+    /// Service of the upstream.
+    #[prost(string, tag = "4")]
+    pub service: String,
+    /// Name of the upstream.
+    #[prost(string, tag = "5")]
+    pub upstream: String,
+    /// Time since the request ended without a reply, in microseconds.
+    #[prost(uint64, tag = "6")]
+    pub age_us: u64,
+}
+
+/// A reply of an upstream to a request.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ReplyReport {
+    /// Digest of the request.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    /// Service of the upstream.
+    #[prost(string, tag = "2")]
+    pub service: String,
+}
+
+/// A quarantined request.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Quarantined {
+    /// Digest of the request.
+    #[prost(fixed64, tag = "1")]
+    pub digest: u64,
+    /// Time until its quarantine ends, in milliseconds; zero if it has ended.
+    #[prost(uint64, tag = "2")]
+    pub left_ms: u64,
 }
 
 /// A subscription to updates.
