edge: read the published quarantines at a start, apply each once, remove old ones

What callers saw: a restarted instance ran a quarantined request until its first probe of the store, and a quarantine in the store never ended.

Each probe applied the whole list again, which extended every quarantine by two minutes for as long as the object stood, and nothing removed it; one digest a probe was written.

Change: an instance that restarts lists them first; each published quarantine is applied once; an instance that has seen one for longer than its period removes the object; up to four are written after a probe. The part moves to a file of its own.

--- a/crates/briarcove/src/edge/sync.rs
+++ b/crates/briarcove/src/edge/sync.rs
@@ -8,6 +8,7 @@
 
 mod flag;
 mod following;
+mod quarantines;
 mod records;
 mod watch;
 
@@ -29,7 +30,6 @@
     Store, config, entry,
     store::{Error, Freshness, Object},
 };
-use serde_json::json;
 use slog::{info, warn};
 use tier::{Event, Instance, watchers::FOLLOWING_THRESHOLD};
 
@@ -52,9 +52,6 @@
 /// up to 2 s old, so an earlier one would lack records.
 const RECORDS_READABLE_AFTER: Duration = Duration::from_millis(2_600);
 
-/// Kind of the objects that share digests of quarantined requests between instances.
-const QUARANTINE_KIND: &str = "briarcove-quarantine";
-
 /// Number of probes between two checks of the instances' records.
 const PROBES_PER_RECORD_CHECK: u32 = 8;
 
@@ -80,6 +77,7 @@
     interrupts: [RefCell<Option<oneshot::Sender<()>>>; 2],
     /// Number of failed connection attempts by instance, for instances that may be gone.
     unreachable: RefCell<HashMap<Box<str>, u32>>,
+    published: RefCell<quarantines::Published>,
     /// Number of rounds in which this instance has removed records of others.
     removals: Cell<u64>,
 }
@@ -107,6 +105,7 @@
         records_revision: Cell::new(0),
         interrupts: Default::default(),
         unreachable: RefCell::default(),
+        published: RefCell::default(),
         removals: Cell::new(0),
     });
     spawn(watch::list_and_watch(Rc::clone(&sync), WatchedKind::Config)).detach();
@@ -239,6 +238,7 @@
     let mut is_registered = if is_first_start {
         records::register(&sync, &mut store).await
     } else {
+        quarantines::read(&sync, &mut store).await;
         // The fleet is running, so the records of the others exist, and this one's may too.
         let is_there = records::check(&sync, &mut store).await;
         sync.roles_known.set(true);
@@ -248,7 +248,7 @@
     let mut probes = 0_u32;
     loop {
         sync.wait_for_next_probe().await;
-        let listed = store.list(QUARANTINE_KIND, Freshness::Stale);
+        let listed = store.list(quarantines::KIND, Freshness::Stale);
         let listed = timeout(PROBE_TIMEOUT, listed).await.unwrap_or_else(|_| {
             Err(Error::Unavailable {
                 reason: "no reply in time".into(),
@@ -268,7 +268,7 @@
         };
         sync.shell.metrics.count_store_call("probe", "ok");
         sync.set_store_lost(false);
-        apply_quarantines(&sync, &mut store, &listed.objects).await;
+        quarantines::apply(&sync, &mut store, &listed.objects).await;
         sync.note_records_revision(&listed.objects);
         if sync.is_unexplained(listed.revision) && unexplained == 0 {
             // The watch may be about to deliver the change, or another instance has written its
@@ -282,7 +282,7 @@
             }
             unexplained = 0;
         }
-        publish_quarantine(&sync, &mut store).await;
+        quarantines::publish(&sync, &mut store).await;
         if !is_registered {
             is_registered = records::register(&sync, &mut store).await;
         } else if probes % PROBES_PER_RECORD_CHECK == PROBES_PER_RECORD_CHECK - 1
@@ -299,39 +299,3 @@
         probes += 1;
     }
 }
-
-/// Applies the published quarantines, and removes those that this instance has ended.
-async fn apply_quarantines(sync: &Sync, store: &mut Store, objects: &[Object]) {
-    for object in objects {
-        let Ok(digest) = u64::from_str_radix(&object.name, 16) else {
-            continue;
-        };
-        let has_ended = sync.shell.ended_quarantines.borrow().contains(&digest);
-        if !has_ended {
-            sync.shell.dispatch(Event::Quarantine(digest));
-            continue;
-        }
-        let removed = store.remove(QUARANTINE_KIND, &object.name, object.revision);
-        match removed.await {
-            Ok(()) | Err(Error::Conflict) => {
-                sync.shell.ended_quarantines.borrow_mut().remove(&digest);
-            }
-            Err(e) => warn!(sync.shell.log, "failed to remove an ended quarantine"; "error" => %e),
-        }
-    }
-}
-
-/// Writes the next digest of a quarantined request to the store for the other instances.
-async fn publish_quarantine(sync: &Sync, store: &mut Store) {
-    let next = sync.shell.pending_quarantines.borrow().front().copied();
-    let Some(digest) = next else { return };
-    match store
-        .create(QUARANTINE_KIND, &format!("{digest:016x}"), json!({}))
-        .await
-    {
-        Ok(()) | Err(Error::Conflict) => {
-            sync.shell.pending_quarantines.borrow_mut().pop_front();
-        }
-        Err(e) => warn!(sync.shell.log, "failed to share a quarantined request"; "error" => %e),
-    }
-}
--- /dev/null
+++ b/crates/briarcove/src/edge/sync/quarantines.rs
@@ -0,0 +1,93 @@
+//! Requests in quarantine, as the store holds them for all instances.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Instant,
+};
+
+use platform::{
+    Store,
+    store::{Error, Freshness, Object},
+};
+use serde_json::json;
+use slog::warn;
+use tier::{Event, crash::PUBLISHED_PERIOD};
+
+use super::Sync;
+
+/// Kind of the objects that share digests of quarantined requests between instances.
+pub(super) const KIND: &str = "briarcove-quarantine";
+
+/// Maximum number of quarantines that are written, or removed, after one probe.
+const MAX_WRITES: usize = 4;
+
+/// Published quarantines by digest, with the times at which this instance first saw them.
+pub(super) type Published = HashMap<u64, Instant>;
+
+/// Lists the quarantines at the start, so that a restarted instance refuses from its first request
+/// on what the others refuse.
+pub(super) async fn read(sync: &Sync, store: &mut Store) {
+    match store.list(KIND, Freshness::Latest).await {
+        Ok(listed) => apply(sync, store, &listed.objects).await,
+        Err(e) => warn!(sync.shell.log, "failed to list quarantined requests"; "error" => %e),
+    }
+}
+
+/// Applies a list of the published quarantines, each once. Removes those that this instance has
+/// ended, and those that are over.
+pub(super) async fn apply(sync: &Sync, store: &mut Store, objects: &[Object]) {
+    let digest = |object: &Object| u64::from_str_radix(&object.name, 16).ok();
+    let listed: HashSet<u64> = objects.iter().filter_map(digest).collect();
+    sync.published
+        .borrow_mut()
+        .retain(|known, _| listed.contains(known));
+    let mut is_over = Vec::new();
+    for object in objects {
+        let Some(digest) = digest(object) else {
+            continue;
+        };
+        let has_ended = sync.shell.ended_quarantines.borrow().contains(&digest);
+        let seen = sync.published.borrow().get(&digest).copied();
+        if has_ended || seen.is_some_and(|seen| seen.elapsed() > PUBLISHED_PERIOD) {
+            is_over.push((digest, object));
+        } else if seen.is_none() {
+            sync.published.borrow_mut().insert(digest, Instant::now());
+            sync.shell.dispatch(Event::Quarantine(digest));
+        }
+    }
+    for (digest, object) in is_over.into_iter().take(MAX_WRITES) {
+        let removed = store.remove(KIND, &object.name, object.revision);
+        match removed.await {
+            // Another instance may have removed it, and a stale list still shows it.
+            Ok(()) | Err(Error::Conflict) => {
+                sync.shell.ended_quarantines.borrow_mut().remove(&digest);
+            }
+            Err(e) => {
+                warn!(sync.shell.log, "failed to remove a quarantine"; "error" => %e);
+                return;
+            }
+        }
+    }
+}
+
+/// Writes quarantines to the store for the other instances.
+pub(super) async fn publish(sync: &Sync, store: &mut Store) {
+    for _ in 0..MAX_WRITES {
+        let next = sync.shell.pending_quarantines.borrow().front().copied();
+        let Some(digest) = next else { return };
+        match store
+            .create(KIND, &format!("{digest:016x}"), json!({}))
+            .await
+        {
+            Ok(()) | Err(Error::Conflict) => {
+                let mut pending = sync.shell.pending_quarantines.borrow_mut();
+                pending.retain(|it| *it != digest);
+                sync.published.borrow_mut().insert(digest, Instant::now());
+            }
+            Err(e) => {
+                warn!(sync.shell.log, "failed to publish a quarantine"; "error" => %e);
+                return;
+            }
+        }
+    }
+}
--- a/crates/tier/src/crash.rs
+++ b/crates/tier/src/crash.rs
@@ -12,8 +12,14 @@
 pub mod suspicion;
 pub mod tracker;
 
+use std::time::Duration;
+
 use base::{ServiceName, Time, UpstreamName};
 
+/// Time for which a quarantine that is published on the platform is in force at an instance that
+/// reads it, and after which it is removed.
+pub const PUBLISHED_PERIOD: Duration = Duration::from_secs(120);
+
 /// A crash of an upstream while it ran a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Crash {
--- a/crates/tier/src/tier/crashes.rs
+++ b/crates/tier/src/tier/crashes.rs
@@ -7,7 +7,7 @@
 use super::{Attempt, Tier};
 use crate::{
     crash::{
-        Crash,
+        Crash, PUBLISHED_PERIOD,
         suspicion::{Check, PROBE_RETRY_DELAY, ProbeResult, SUSPICION_PERIOD},
         tracker::{Acquittal, Verdict},
     },
@@ -18,9 +18,6 @@
     upstream::{Entry, UpstreamKey},
 };
 
-/// Time for which a request that another instance has published is refused.
-const PUBLISHED_PERIOD: Duration = Duration::from_secs(120);
-
 impl<C: Protocol> Tier<C> {
     /// Suspects the request of an attempt that ended without a reply, unless requests like it are
     /// answered; its upstream is checked after a delay.
