tier: an upstream crashes once, however many requests waited for it

Cause: reports of a crash were told apart by time. Requests that waited, for seconds and at three instances, for one upstream that had ended in silence counted as several crashes of it.

Change: a crash names the incarnation of the upstream, and when it was last known to be up: when it was sent a request that it answered, or when a new connection to it was accepted. A second crash counts only of a newer start, or if the upstream was up after the first. For that, a connection that closes before the request is sent (Unsent) is no longer taken for an upstream that is down (Unreachable), and idle connections to one that is down are closed; the ejection of the upstream is unchanged.

--- a/crates/briarcove/src/edge/peers/incoming.rs
+++ b/crates/briarcove/src/edge/peers/incoming.rs
@@ -114,12 +114,15 @@
 
 /// Returns the sender of a report and the crash; `None` if a name is invalid.
 fn parse_crash(shell: &Shell, report: CrashReport) -> Option<(InstanceName, Crash)> {
+    let ago = |age_us| shell.now() - Duration::from_micros(age_us);
     let crash = Crash {
         digest: report.digest,
         call: report.call,
         service: report.service.parse().ok()?,
         upstream: report.upstream.parse().ok()?,
-        at: shell.now() - Duration::from_micros(report.age_us),
+        started_ms: report.started_ms,
+        up_at: report.up_age_us.map(ago),
+        at: ago(report.age_us),
     };
     Some((report.from.parse().ok()?, crash))
 }
--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -282,6 +282,8 @@
         service: crash.service.to_string(),
         upstream: crash.upstream.to_string(),
         age_us: micros(shell.now().since(crash.at)),
+        started_ms: crash.started_ms,
+        up_age_us: crash.up_at.map(|up_at| micros(shell.now().since(up_at))),
     }
 }
 
--- a/crates/briarcove/src/edge/upstreams.rs
+++ b/crates/briarcove/src/edge/upstreams.rs
@@ -169,7 +169,7 @@
             }
             outcome
         }
-        Err(ExchangeError::Unsent) => Outcome::Failed(Failure::Unreachable),
+        Err(ExchangeError::Unsent) => Outcome::Failed(Failure::Unsent),
         Err(ExchangeError::Broken) => Outcome::Failed(Failure::Broken),
         Err(ExchangeError::Malformed) => Outcome::Failed(Failure::Malformed),
     }
--- a/crates/tier/src/crash.rs
+++ b/crates/tier/src/crash.rs
@@ -31,6 +31,20 @@
     pub service: ServiceName,
     /// The upstream.
     pub upstream: UpstreamName,
+    /// Unix time of its start, in milliseconds.
+    pub started_ms: u64,
+    /// Latest time at which it was known to be up before the crash, if any.
+    pub up_at: Option<Time>,
     /// Time at which the request ended without a reply.
     pub at: Time,
 }
+
+impl Crash {
+    /// Returns whether this is a report of the same crash as an earlier one: an upstream crashes
+    /// once, unless it has started again or was up in between.
+    fn is_same(&self, earlier: &Self) -> bool {
+        self.upstream == earlier.upstream
+            && self.started_ms <= earlier.started_ms
+            && self.up_at.is_none_or(|up_at| up_at <= earlier.at)
+    }
+}
--- a/crates/tier/src/crash/tracker.rs
+++ b/crates/tier/src/crash/tracker.rs
@@ -21,9 +21,6 @@
 /// reason do so at one time.
 const MIN_SPAN: Duration = Duration::from_millis(200);
 
-/// Time within which two reports of a crash of one upstream are about the same crash.
-const SAME_CRASH: Duration = Duration::from_millis(500);
-
 /// Time for which a crash counts.
 const CRASH_PERIOD: Duration = Duration::from_secs(600);
 
@@ -106,11 +103,7 @@
             return Verdict::Unchanged;
         }
         let record = self.record(now, crash.digest);
-        let is_same = |known: &Crash| {
-            let apart = known.at.since(crash.at).max(crash.at.since(known.at));
-            known.upstream == crash.upstream && apart < SAME_CRASH
-        };
-        if record.crashes.iter().any(is_same) {
+        if record.crashes.iter().any(|known| crash.is_same(known)) {
             return Verdict::Unchanged;
         }
         record
--- a/crates/tier/src/event.rs
+++ b/crates/tier/src/event.rs
@@ -168,6 +168,8 @@
 pub enum Failure {
     /// No connection could be opened; nothing was sent.
     Unreachable,
+    /// The connection closed before the request was sent.
+    Unsent,
     /// No connection was available in time; nothing was sent.
     NoConnection,
     /// The upstream reported that it did not run the request.
@@ -184,20 +186,25 @@
     /// Returns whether it is certain that the request has not run.
     pub fn is_not_run(self) -> bool {
         match self {
-            Self::Unreachable | Self::NoConnection | Self::NotRun | Self::Misdirected => true,
+            Self::Unreachable
+            | Self::Unsent
+            | Self::NoConnection
+            | Self::NotRun
+            | Self::Misdirected => true,
             Self::Broken | Self::Malformed => false,
         }
     }
 
     /// Returns whether the request was sent to the upstream.
     pub fn was_sent(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::NoConnection)
+        !matches!(self, Self::Unreachable | Self::Unsent | Self::NoConnection)
     }
 
     /// Returns the name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::Unreachable => "unreachable",
+            Self::Unsent => "unsent",
             Self::NoConnection => "no_connection",
             Self::NotRun => "not_run",
             Self::Misdirected => "misdirected",
--- a/crates/tier/src/tier/attempts.rs
+++ b/crates/tier/src/tier/attempts.rs
@@ -7,7 +7,6 @@
 use super::{Attempt, Tier, calls::is_gather};
 use crate::{
     call::PartState,
-    crash::suspicion::SILENT_CHECK_DELAY,
     effect::{Effect, FailedAttempt, Send},
     event::{AttemptKey, Failure, Outcome, Protocol, Reply},
     hedge, placement,
@@ -320,7 +319,7 @@
         if waited >= NO_REPLY_THRESHOLD {
             self.on_upstream_silent(now, attempt.upstream);
         }
-        self.suspect(now, &attempt, SILENT_CHECK_DELAY, effects);
+        self.suspect(now, &attempt, false, effects);
         let mean_latency = self.route_state(&attempt.route).latency.mean(waited);
         if let Some(upstream) = self.directory.get_mut(attempt.upstream) {
             upstream.attempt_ended(key);
--- a/crates/tier/src/tier/crashes.rs
+++ b/crates/tier/src/tier/crashes.rs
@@ -8,7 +8,10 @@
 use crate::{
     crash::{
         Crash, PUBLISHED_PERIOD,
-        suspicion::{Check, PROBE_RETRY_DELAY, ProbeResult, SUSPICION_PERIOD},
+        suspicion::{
+            BROKEN_CHECK_DELAY, Check, PROBE_RETRY_DELAY, ProbeResult, SILENT_CHECK_DELAY,
+            SUSPICION_PERIOD,
+        },
         tracker::{Acquittal, Verdict},
     },
     effect::{Effect, Note},
@@ -20,12 +23,13 @@
 
 impl<C: Protocol> Tier<C> {
     /// Suspects the request of an attempt that ended without a reply, unless requests like it are
-    /// answered; its upstream is checked after a delay.
+    /// answered; its upstream is checked after a delay. `is_broken` tells that the connection broke
+    /// rather than that the request was given up.
     pub(super) fn suspect(
         &mut self,
         now: Time,
         attempt: &Attempt,
-        delay: Duration,
+        is_broken: bool,
         effects: &mut Vec<Effect<C>>,
     ) {
         let key = attempt.upstream;
@@ -44,11 +48,17 @@
             call: attempt.id_hash,
             service: entry.service.clone(),
             upstream: entry.name.clone(),
+            started_ms: entry.started_ms,
+            up_at: upstream.up_at(is_broken.then_some(attempt.sent)),
             at: now,
         };
         let dropped = self.suspicions.add(key, entry.address, possible);
         effects.push(Effect::Note(Note::CrashSuspected));
         note_unconfirmed(dropped, effects);
+        let delay = match is_broken {
+            true => BROKEN_CHECK_DELAY,
+            false => SILENT_CHECK_DELAY,
+        };
         self.timers.set(now + delay, Due::CheckSuspect(key));
         self.timers
             .set(now + SUSPICION_PERIOD, Due::CheckSuspect(key));
@@ -112,6 +122,11 @@
         key: UpstreamKey,
         effects: &mut Vec<Effect<C>>,
     ) {
+        if let Some(upstream) = self.directory.get_mut(key) {
+            upstream.down_at = Some(now);
+            // Whatever is sent from now on needs a connection that the upstream accepts.
+            effects.push(Effect::Forget(key));
+        }
         for crash in self.suspicions.confirm(key) {
             let digest = crash.digest;
             if self.record_crash(now, crash.clone(), effects) == Verdict::Suspected {
--- a/crates/tier/src/tier/outcomes.rs
+++ b/crates/tier/src/tier/outcomes.rs
@@ -6,7 +6,6 @@
 
 use super::{Attempt, Tier};
 use crate::{
-    crash::suspicion::BROKEN_CHECK_DELAY,
     effect::{Effect, Note},
     event::{AttemptKey, Failure, Outcome, Protocol, Reply},
     timers::Due,
@@ -104,7 +103,7 @@
             }
             return;
         }
-        let is_unreachable = failure == Failure::Unreachable;
+        let is_unreachable = matches!(failure, Failure::Unreachable | Failure::Unsent);
         let Some(upstream) = self.directory.get_mut(key) else {
             return;
         };
@@ -115,9 +114,13 @@
             )));
         }
         match failure {
-            Failure::Broken => self.suspect(now, attempt, BROKEN_CHECK_DELAY, effects),
-            Failure::Unreachable if self.suspicions.has(key) => {
-                self.timers.set(now, Due::CheckSuspect(key));
+            Failure::Broken => self.suspect(now, attempt, true, effects),
+            Failure::Unreachable => {
+                upstream.down_at = Some(now);
+                effects.push(Effect::Forget(key));
+                if self.suspicions.has(key) {
+                    self.timers.set(now, Due::CheckSuspect(key));
+                }
             }
             _ => {}
         }
--- a/crates/tier/src/upstream.rs
+++ b/crates/tier/src/upstream.rs
@@ -74,6 +74,8 @@
     pub replied_at: Option<Time>,
     /// Time at which the latest request that was answered or rejected had been sent.
     pub answered_since: Option<Time>,
+    /// Time at which it was last found down.
+    pub down_at: Option<Time>,
     failures: u32,
     ejections: u32,
 }
@@ -92,6 +94,7 @@
             full_until: Time::ZERO,
             replied_at: None,
             answered_since: None,
+            down_at: None,
             failures: 0,
             ejections: 0,
         }
@@ -146,6 +149,16 @@
             .map_or(Duration::ZERO, |(_, sent)| now.since(*sent))
     }
 
+    /// Returns the latest time at which it is known to have been up: when it was sent a request that
+    /// it answered, or the one sent at `broken_sent`, whose connection broke, if that was a new one.
+    /// Connections are only kept after an answer.
+    pub fn up_at(&self, broken_sent: Option<Time>) -> Option<Time> {
+        let answered = self
+            .answered_since
+            .filter(|at| self.down_at.is_none_or(|down_at| *at > down_at));
+        answered.or(broken_sent).max(self.answered_since)
+    }
+
     /// Removes a request that is no longer in flight.
     pub fn attempt_ended(&mut self, attempt: AttemptKey) {
         self.in_flight.retain(|(key, _)| *key != attempt);
--- a/crates/tier/tests/crashing/scenarios.rs
+++ b/crates/tier/tests/crashing/scenarios.rs
@@ -124,6 +124,38 @@
     });
 }
 
+#[test]
+fn a_crashing_request_is_sent_on_three_times_at_most_to_a_service_with_two_upstreams() {
+    for store_away in [
+        None,
+        Some((Duration::from_millis(500), Duration::from_secs(60))),
+    ] {
+        check(&Scenario {
+            upstreams: 2,
+            store_away,
+            ..Scenario::default()
+        });
+    }
+}
+
+/// Guards against a quarantine by several requests that waited for one upstream that had ended in
+/// silence (soak with crashes, seed 6).
+#[test]
+fn upstreams_that_end_in_silence_quarantine_no_request() {
+    for (upstreams, harmless_contents) in [(2, 1), (24, 1), (24, 50)] {
+        check(&Scenario {
+            crashing: 0,
+            min_crashes: 0,
+            upstreams,
+            harmless_rate: 100.0,
+            harmless_contents,
+            ends_every: Some(Duration::from_millis(900)),
+            ends_in_silence: true,
+            ..Scenario::default()
+        });
+    }
+}
+
 #[test]
 fn resets_quarantine_no_request() {
     check(&Scenario {
--- a/crates/tier/tests/crashing/world.rs
+++ b/crates/tier/tests/crashing/world.rs
@@ -102,6 +102,8 @@
     pub(super) resets_every: Option<Duration>,
     /// Interval at which a tenth of the upstreams end for a reason of their own.
     pub(super) ends_every: Option<Duration>,
+    /// Whether those end in silence.
+    pub(super) ends_in_silence: bool,
     /// Interval at which a fifth of the upstreams are cut off from all instances.
     pub(super) cuts_every: Option<Duration>,
     /// Minimum number of crashes without which a run proves nothing.
@@ -124,6 +126,7 @@
             restarts_every: None,
             resets_every: None,
             ends_every: None,
+            ends_in_silence: false,
             cuts_every: None,
             min_crashes: 3,
         }
@@ -393,7 +396,11 @@
             Step::End => {
                 for upstream in 0..self.upstreams.len() {
                     if self.rng.random_bool(0.1) {
-                        self.end(upstream, Crash::default());
+                        let crash = Crash {
+                            is_silent: self.scenario.ends_in_silence,
+                            ..Crash::default()
+                        };
+                        self.end(upstream, crash);
                     }
                 }
             }
--- a/crates/tier/tests/decisions.rs
+++ b/crates/tier/tests/decisions.rs
@@ -199,6 +199,8 @@
         call,
         service: "s".parse().unwrap(),
         upstream: upstream.parse().unwrap(),
+        started_ms: 1,
+        up_at: None,
         at: at(ms),
     }
 }
@@ -220,13 +222,39 @@
     assert!(crashes.quarantine_left(at(1_000), 7).is_some());
 }
 
+/// Guards against a quarantine by several requests that waited, for seconds and at several
+/// instances, for one upstream that had ended in silence (soak with crashes, seed 6).
 #[test]
-fn a_crash_that_two_instances_report_counts_once() {
+fn a_crash_that_several_requests_waited_for_counts_once() {
     let mut crashes = CrashTracker::default();
-    for (call, ms) in [(1, 0), (2, 300), (3, 301), (4, 310)] {
-        let crash = crash(call, "u", ms);
-        assert_ne!(crashes.record_crash(at(ms), crash), Verdict::Quarantined);
+    for (call, ms) in [(1, 0), (2, 900), (3, 1_800), (4, 2_700)] {
+        let waited = crash(call, "u", ms);
+        assert_ne!(crashes.record_crash(at(ms), waited), Verdict::Quarantined);
     }
+    assert_eq!(crashes.crashes(7), 1);
+}
+
+#[test]
+fn an_upstream_that_starts_again_or_is_up_again_can_crash_again() {
+    let mut crashes = CrashTracker::default();
+    crashes.record_crash(at(0), crash(1, "u", 0));
+    let started_again = Crash {
+        started_ms: 2,
+        ..crash(2, "u", 900)
+    };
+    assert_eq!(
+        crashes.record_crash(at(900), started_again),
+        Verdict::Suspected
+    );
+    let up_again = Crash {
+        started_ms: 2,
+        up_at: Some(at(1_500)),
+        ..crash(3, "u", 1_800)
+    };
+    assert_eq!(
+        crashes.record_crash(at(1_800), up_again),
+        Verdict::Quarantined
+    );
 }
 
 #[test]
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -93,6 +93,12 @@
     /// Time since the request ended without a reply, in microseconds.
     #[prost(uint64, tag = "6")]
     pub age_us: u64,
+    /// Start of the upstream as Unix time, in milliseconds.
+    #[prost(uint64, tag = "7")]
+    pub started_ms: u64,
+    /// Time since the upstream was last known to be up, in microseconds, if it ever was.
+    #[prost(uint64, optional, tag = "8")]
+    pub up_age_us: Option<u64>,
 }
 
 /// A reply of an upstream to a request.
