rig: soak with upstreams that end, and with requests that end them

An end is a reset with refused connections, or silence; the upstream is back after 60 ms to 10 s or not at all, under its name or another. Checked beside the other promises: after the third crash and 4 s no more than three retries from instances in touch, and no harmless request refused as quarantined. The plans of seeds without crashes are unchanged.

--- a/crates/briarcove/tests/soak.rs
+++ b/crates/briarcove/tests/soak.rs
@@ -20,6 +20,12 @@
     ),
 ];
 
+/// Seeds of runs with requests that crash upstreams.
+const CRASH_SEEDS: [u64; 3] = [1, 2, 3];
+
+/// Duration of such a run: three crashes, the settle window, and time after it.
+const CRASH_LENGTH: Duration = Duration::from_secs(18);
+
 /// A seed without a known fault.
 const ADDITIONAL_SEED: u64 = 3;
 
@@ -41,11 +47,27 @@
     run_all([829].into_iter());
 }
 
+/// Guards against requests that end one upstream after the other, because the instances do not
+/// recognize a crash or do not tell each other, while harmless requests lose their connections.
+#[test]
+fn crashing_requests_are_sent_on_three_times_at_most_under_faults() {
+    run_with(CRASH_SEEDS.into_iter(), CRASH_LENGTH, true);
+}
+
 fn run_all(seeds: impl Iterator<Item = u64>) {
+    run_with(seeds, Duration::from_secs(10), false);
+}
+
+fn run_with(seeds: impl Iterator<Item = u64>, length: Duration, with_crashes: bool) {
     let options = Options {
         program: PathBuf::from(env!("CARGO_BIN_EXE_briarcove")),
-        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("soak"),
-        length: Duration::from_secs(10),
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(if with_crashes {
+            "crash-soak"
+        } else {
+            "soak"
+        }),
+        length,
+        with_crashes,
     };
     thread::scope(|scope| {
         let runs: Vec<_> = seeds
--- a/crates/rig/src/cli.rs
+++ b/crates/rig/src/cli.rs
@@ -131,6 +131,8 @@
     help: bool,
     #[options(no_short, required, help = "program of the instances")]
     program: PathBuf,
+    #[options(no_short, help = "end upstreams, and send requests that crash them")]
+    crashes: bool,
     #[options(no_short, help = "folder for logs", default = "target/soak")]
     folder: PathBuf,
     #[options(no_short, help = "first seed", default = "1")]
@@ -231,6 +233,7 @@
         program: args.program.clone(),
         folder: args.folder.clone(),
         length: Duration::from_secs_f64(args.seconds.clamp(1.0, MAX_SECONDS)),
+        with_crashes: args.crashes,
     };
     let end = args.seed + args.count;
     let next = AtomicU64::new(args.seed);
--- a/crates/rig/src/edge/mod.rs
+++ b/crates/rig/src/edge/mod.rs
@@ -7,4 +7,4 @@
 
 pub use site::{Answer, Site, route_gather, route_one};
 pub use store::{Availability, Store};
-pub use upstream::{Arrival, Behaviour, Upstream};
+pub use upstream::{Arrival, Behaviour, CRASH_MARK, Upstream};
--- a/crates/rig/src/edge/site.rs
+++ b/crates/rig/src/edge/site.rs
@@ -105,7 +105,7 @@
     /// Writes the entry of an upstream to the store.
     pub fn register(&self, upstream: &Upstream, state: &str) {
         self.store
-            .put("servers", upstream.name(), upstream.entry(state));
+            .put("servers", &upstream.name(), upstream.entry(state));
     }
 
     /// Writes a configuration with routes and the services that they use.
--- a/crates/rig/src/edge/upstream.rs
+++ b/crates/rig/src/edge/upstream.rs
@@ -6,9 +6,9 @@
     rc::Rc,
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use bytes::Bytes;
@@ -25,6 +25,15 @@
 /// Connections that an upstream accepts at once.
 const MAX_CONNECTIONS: usize = 64;
 
+/// Part of the paths of requests that crash the upstreams that run them.
+pub const CRASH_MARK: &str = "/crash-";
+
+/// Time for which a request that crashes its upstream is held. Its connection ends before that.
+const CRASH_HOLD: Duration = Duration::from_secs(30);
+
+/// Start time of the first incarnation of an upstream, as Unix time in milliseconds.
+const FIRST_START_MS: u64 = 1_700_000_000_000;
+
 /// Number of the next signature; numbers are unique within the process.
 static NEXT_SIGNATURE: AtomicU64 = AtomicU64::new(1);
 
@@ -56,6 +65,8 @@
     pub service: String,
     /// Whether the request was run.
     pub ran: bool,
+    /// Time of the arrival.
+    pub at: Instant,
     /// Number in the signature and the body of the reply.
     number: u64,
 }
@@ -78,17 +89,21 @@
 
 #[derive(Debug)]
 struct State {
+    /// Name of the incarnation.
+    name: String,
+    started_ms: u64,
     behaviour: Behaviour,
     arrivals: Vec<Arrival>,
 }
 
 /// One upstream; dropping it stops its server.
 pub struct Upstream {
-    name: String,
     service: String,
     /// Data centre that its entry names.
     pub data_centre: &'static str,
     state: Arc<Mutex<State>>,
+    /// Whether it has crashed; whoever is in front of it then refuses connections.
+    has_crashed: Arc<AtomicBool>,
     server: Server,
 }
 
@@ -105,17 +120,20 @@
     ) -> Result<Self, crate::server::Error> {
         let arrivals = Vec::new();
         let state = Arc::new(Mutex::new(State {
+            name: name.to_owned(),
+            started_ms: FIRST_START_MS,
             behaviour,
             arrivals,
         }));
-        let (shared, instance) = (Arc::clone(&state), name.to_owned());
+        let has_crashed = Arc::new(AtomicBool::new(false));
+        let (shared, crash) = (Arc::clone(&state), Arc::clone(&has_crashed));
         let handler_service = service.to_owned();
         let server = Server::spawn(move || async move {
             let listener = TcpListener::bind("127.0.0.1:0").await?;
             let address = listener.local_addr()?;
             let handler = Rc::new(UpstreamHandler {
                 state: shared,
-                instance,
+                has_crashed: crash,
                 service: handler_service,
                 connections: Connections::new(MAX_CONNECTIONS),
             });
@@ -123,17 +141,32 @@
             Ok::<Vec<SocketAddr>, io::Error>(vec![address])
         })?;
         Ok(Self {
-            name: name.to_owned(),
             service: service.to_owned(),
             data_centre: "here",
             state,
+            has_crashed,
             server,
         })
     }
 
     /// Returns the name of the upstream.
-    pub fn name(&self) -> &str {
-        &self.name
+    pub fn name(&self) -> String {
+        lock(&self.state).name.clone()
+    }
+
+    /// Returns the flag that is set while the upstream is crashed.
+    pub fn has_crashed(&self) -> &Arc<AtomicBool> {
+        &self.has_crashed
+    }
+
+    /// Starts the next incarnation after a crash, under a new name if one is given.
+    pub fn restart(&self, name: Option<String>) {
+        let mut state = lock(&self.state);
+        state.started_ms += 1_000;
+        if let Some(name) = name {
+            state.name = name;
+        }
+        self.has_crashed.store(false, Ordering::Relaxed);
     }
 
     /// Returns the address on which the upstream listens.
@@ -146,7 +179,7 @@
         let address = self.address().to_string();
         json!({"service": self.service, "addr": address, "zone": self.data_centre,
             "version": "v1",
-            "slots": 2, "state": state, "coldLeftMs": 0, "seq": 1, "born": 1_700_000_000_000_u64})
+            "slots": 2, "state": state, "coldLeftMs": 0, "seq": 1, "born": lock(&self.state).started_ms})
     }
 
     /// Changes how the upstream responds to requests.
@@ -166,7 +199,7 @@
 
 struct UpstreamHandler {
     state: Arc<Mutex<State>>,
-    instance: String,
+    has_crashed: Arc<AtomicBool>,
     service: String,
     connections: Connections,
 }
@@ -185,7 +218,8 @@
                 .get(name)
                 .and_then(|value| value.to_str().ok())
         };
-        if text("x-expect-instance").is_some_and(|expected| expected != self.instance) {
+        let name = lock(&self.state).name.clone();
+        if text("x-expect-instance").is_some_and(|expected| expected != name) {
             return Ok(reply::empty(StatusCode::MISDIRECTED_REQUEST));
         }
         let id = text("x-request-id").unwrap_or_default().to_owned();
@@ -200,10 +234,16 @@
                 path: parts.uri.path().to_owned(),
                 service: self.service.clone(),
                 ran,
+                at: Instant::now(),
                 number,
             });
             state.behaviour
         };
+        if behaviour != Behaviour::Sheds && parts.uri.path().contains(CRASH_MARK) {
+            self.has_crashed.store(true, Ordering::Relaxed);
+            sleep(CRASH_HOLD).await;
+            return Err(Abort);
+        }
         match behaviour {
             Behaviour::Replies(time) => {
                 sleep(time).await;
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -10,12 +10,14 @@
 
 mod callers;
 mod check;
+mod crashing;
 mod deployment;
 mod plan;
 mod proxy;
 
 use std::{
     fmt, fs, io,
+    net::SocketAddr,
     path::{Path, PathBuf},
     sync::{Arc, PoisonError},
     thread,
@@ -25,14 +27,20 @@
 use callers::{Callers, Kind};
 use check::{PROBE_PREFIX, Recording};
 
+use crashing::Ends;
 use deployment::{Deployment, MIN_COVERAGE, SHARDS};
 pub use plan::{Fault, ScheduledFault, plan};
 pub use proxy::Condition;
 use proxy::wait_for;
 
+use crate::edge::{CRASH_MARK, Site};
+
 /// Number of callers per instance.
 const CALLERS_PER_INSTANCE: usize = 3;
 
+/// Number added to the seeds of callers whose requests crash upstreams.
+const CRASHING_CALLERS: u64 = 500;
+
 /// Time in which all instances must recover after the last fault, as the platform requires.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -51,6 +59,8 @@
     pub folder: PathBuf,
     /// Time during which faults are injected.
     pub length: Duration,
+    /// Whether upstreams end by themselves, and requests crash the upstreams that run them.
+    pub with_crashes: bool,
 }
 
 /// Result of a run.
@@ -58,10 +68,12 @@
 pub struct Report {
     /// Seed of the run.
     pub seed: u64,
-    /// Number of requests that callers sent.
+    /// Number of harmless requests that callers sent.
     pub requests: usize,
-    /// Number of requests that succeeded.
+    /// Number of them that succeeded.
     pub served: usize,
+    /// Number of upstreams that crashing requests ended.
+    pub ended: usize,
     /// Number of faults.
     pub faults: usize,
     /// Descriptions of the violated guarantees.
@@ -72,11 +84,12 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "seed {}: {} faults, {} requests, {} served, {} promises broken",
+            "seed {}: {} faults, {} requests, {} served, {} upstreams ended, {} promises broken",
             self.seed,
             self.faults,
             self.requests,
             self.served,
+            self.ended,
             self.violations.len()
         )?;
         self.violations
@@ -92,12 +105,17 @@
 /// Fails when processes cannot be started or stopped.
 pub fn run(options: &Options, seed: u64) -> io::Result<Report> {
     let folder = options.folder.join(format!("seed-{seed}"));
+    // The logs are checked, and those of an earlier run with the seed would be taken for this one's.
+    if folder.exists() {
+        fs::remove_dir_all(&folder)?;
+    }
     fs::create_dir_all(&folder)?;
     let plan = plan(seed, options.length);
     let lines: Vec<String> = plan.iter().map(ToString::to_string).collect();
     fs::write(folder.join("plan"), lines.join("\n"))?;
     // Runs with odd seeds register so many stale instances that some instances become followers.
-    let mut deployment = Deployment::start(&options.program, &folder, seed % 2 == 1)?;
+    let ends = options.with_crashes.then(|| Ends::new(seed));
+    let mut deployment = Deployment::start(&options.program, &folder, seed % 2 == 1, ends)?;
     let callers = Arc::new(Callers::default());
     let mut handles = Vec::new();
     for (instance, site) in deployment.sites.iter().enumerate() {
@@ -107,9 +125,25 @@
             handles.push(thread::spawn(move || callers.run(instance, address, seed)));
         }
     }
+    if options.with_crashes {
+        let instances: Vec<SocketAddr> =
+            deployment.sites.iter().map(Site::caller_address).collect();
+        for (number, kind) in [Kind::Search, Kind::Status, Kind::Order]
+            .into_iter()
+            .enumerate()
+        {
+            let (callers, instances) = (Arc::clone(&callers), instances.clone());
+            let seed = seed * 1_000 + CRASHING_CALLERS + number as u64;
+            handles.push(thread::spawn(move || {
+                callers.run_crashing(kind, &instances, seed);
+            }));
+        }
+    }
     deployment.run_plan(&plan)?;
+    callers.stop_crashing();
     // Lets the last signals take effect before recovery is checked.
     deployment.wait_until(Instant::now() + SETTLE_TIME)?;
+    deployment.stop_ends()?;
     let mut violations = check_recovery(&deployment, &callers, &folder);
     violations.append(&mut deployment.unexpected_exits);
     callers.stop();
@@ -131,14 +165,17 @@
         min_parts: (SHARDS.len() as f64 * MIN_COVERAGE).ceil() as usize,
     };
     violations.extend(check::check(&recording));
+    violations.extend(crashing::check(&recording, &deployment.logs()?));
     let is_served = |outcome: &&callers::Outcome| {
         let answer = outcome.answer.as_ref();
         answer.is_some_and(|answer| answer.status().is_success())
     };
+    let harmless = || outcomes.iter().filter(|it| !it.path.contains(CRASH_MARK));
     Ok(Report {
         seed,
-        requests: outcomes.len(),
-        served: outcomes.iter().filter(is_served).count(),
+        requests: harmless().count(),
+        served: harmless().filter(is_served).count(),
+        ended: crashing::count(&recording),
         faults: plan.len(),
         violations,
     })
@@ -180,7 +217,12 @@
                 for _ in 0..PROBES_PER_KIND {
                     let time_left = Duration::from_millis(1_200);
                     callers
-                        .ask(&mut client, at, site.caller_address(), kind, time_left)
+                        .ask(
+                            &mut client,
+                            (at, site.caller_address()),
+                            (kind, kind.path()),
+                            time_left,
+                        )
                         .await;
                 }
             }
--- a/crates/rig/src/soak/callers.rs
+++ b/crates/rig/src/soak/callers.rs
@@ -15,11 +15,14 @@
 use http_body_util::Full;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::client::Client;
+use crate::{client::Client, edge::CRASH_MARK};
 
 /// Time for which a caller waits for an answer beyond the timeout that it sends.
 const RESPONSE_GRACE: Duration = Duration::from_millis(2_500);
 
+/// Longest pause of a caller whose requests crash upstreams, in milliseconds.
+const MAX_CRASHING_PAUSE_MS: u64 = 500;
+
 /// Kind of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Kind {
@@ -31,12 +34,41 @@
     Order,
 }
 
+impl Kind {
+    fn method(self) -> &'static str {
+        match self {
+            Self::Search | Self::Status => "GET",
+            Self::Order => "POST",
+        }
+    }
+
+    /// Returns the path of an ordinary request.
+    pub(super) fn path(self) -> &'static str {
+        match self {
+            Self::Search => "/search/2f",
+            Self::Status => "/status/1",
+            Self::Order => "/order/1",
+        }
+    }
+
+    /// Returns the path of a request that crashes the upstreams that run it.
+    fn crashing_path(self) -> String {
+        let prefix = match self {
+            Self::Search => "/search",
+            Self::Status => "/status",
+            Self::Order => "/order",
+        };
+        format!("{prefix}{CRASH_MARK}1")
+    }
+}
+
 /// One request and its result.
 #[derive(Clone, Debug)]
 pub(super) struct Outcome {
     /// Request id.
     pub(super) id: String,
     pub(super) kind: Kind,
+    pub(super) path: Box<str>,
     /// Index of the instance that received it.
     pub(super) instance: usize,
     /// Time at which it was sent.
@@ -57,6 +89,7 @@
     /// Results of the requests so far.
     pub(super) outcomes: Mutex<Vec<Outcome>>,
     is_stopping: AtomicBool,
+    is_crashing_over: AtomicBool,
     next_id: AtomicU64,
 }
 
@@ -66,6 +99,11 @@
         self.is_stopping.store(true, Ordering::Relaxed);
     }
 
+    /// Stops the callers whose requests crash upstreams.
+    pub(super) fn stop_crashing(&self) {
+        self.is_crashing_over.store(true, Ordering::Relaxed);
+    }
+
     /// Sends requests to an instance on a persistent connection until [`Self::stop`] is called.
     pub(super) fn run(&self, instance: usize, address: SocketAddr, seed: u64) {
         let runtime = compio::runtime::Runtime::new();
@@ -81,7 +119,31 @@
                     _ => Kind::Order,
                 };
                 let time_left = Duration::from_millis(rng.random_range(300..1_500));
-                self.ask(&mut client, instance, address, kind, time_left)
+                self.ask(
+                    &mut client,
+                    (instance, address),
+                    (kind, kind.path()),
+                    time_left,
+                )
+                .await;
+            }
+        });
+    }
+
+    /// Sends one request that crashes upstreams again and again, to any instance, until
+    /// [`Self::stop_crashing`] is called.
+    pub(super) fn run_crashing(&self, kind: Kind, instances: &[SocketAddr], seed: u64) {
+        let runtime = compio::runtime::Runtime::new();
+        let runtime = runtime.expect("a thread has a runtime of its own");
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let path = kind.crashing_path();
+        runtime.block_on(async {
+            while !self.is_crashing_over.load(Ordering::Relaxed) {
+                let pause = rng.random_range(50..MAX_CRASHING_PAUSE_MS);
+                sleep(Duration::from_millis(pause)).await;
+                let at = rng.random_range(0..instances.len());
+                let time_left = Duration::from_millis(rng.random_range(300..1_500));
+                self.ask(&mut None, (at, instances[at]), (kind, &path), time_left)
                     .await;
             }
         });
@@ -92,9 +154,8 @@
     pub(super) async fn ask(
         &self,
         client: &mut Option<Client>,
-        instance: usize,
-        address: SocketAddr,
-        kind: Kind,
+        (instance, address): (usize, SocketAddr),
+        (kind, path): (Kind, &str),
         time_left: Duration,
     ) {
         let reused_connection = client.as_ref().is_some_and(|kept| !kept.is_closed());
@@ -107,13 +168,8 @@
         }
         let Some(open) = client else { return };
         let id = format!("soak-{}", self.next_id.fetch_add(1, Ordering::Relaxed));
-        let (method, path) = match kind {
-            Kind::Search => ("GET", "/search/2f"),
-            Kind::Status => ("GET", "/status/1"),
-            Kind::Order => ("POST", "/order/1"),
-        };
         let req = Request::builder()
-            .method(method)
+            .method(kind.method())
             .uri(path)
             .header("host", "search.example")
             .header("x-request-id", &id)
@@ -133,6 +189,7 @@
         let outcome = Outcome {
             id,
             kind,
+            path: path.into(),
             instance,
             sent,
             ended: Instant::now(),
--- a/crates/rig/src/soak/deployment.rs
+++ b/crates/rig/src/soak/deployment.rs
@@ -4,6 +4,10 @@
     collections::BinaryHeap,
     io,
     path::Path,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -13,6 +17,7 @@
 
 use super::{
     check::Outage,
+    crashing::{ENTRY_LAPSE, Ends, Return},
     plan::{Fault, ScheduledFault},
     proxy::{Condition, Proxy, wait_for},
 };
@@ -63,10 +68,24 @@
     started: Vec<Instant>,
     /// Descriptions of unexpected exits of instances.
     pub(super) unexpected_exits: Vec<String>,
+    /// Draws the ends of upstreams, in a run that has them.
+    ends: Option<Ends>,
+    /// Upstreams that have ended.
+    ended: Vec<Ended>,
     /// Faults that are still to be reverted, the earliest first.
     pending_reverts: BinaryHeap<Revert>,
 }
 
+/// An upstream that has ended.
+#[derive(Clone, Debug)]
+struct Ended {
+    upstream: usize,
+    at: Instant,
+    /// Name under which it is registered, until its entry lapses.
+    name: Option<String>,
+    back: Return,
+}
+
 /// A scheduled end of a fault. The order is reversed, so that the earliest is the greatest and
 /// [`BinaryHeap`] returns it first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -93,6 +112,7 @@
         program: &Path,
         folder: &Path,
         with_stale_records: bool,
+        ends: Option<Ends>,
     ) -> io::Result<Self> {
         let first = Site::new(&folder.join("instance-0"))?;
         if with_stale_records {
@@ -122,6 +142,8 @@
             paused_at: [Instant::now(); CPU_SHARES.len()],
             started: vec![Instant::now(); CPU_SHARES.len()],
             unexpected_exits: Vec::new(),
+            ends,
+            ended: Vec::new(),
             pending_reverts: BinaryHeap::new(),
         };
         for service in SHARDS.iter().chain(&["desk"]) {
@@ -131,7 +153,7 @@
                     Upstream::start(&name, service, NORMAL_BEHAVIOUR).map_err(io::Error::other)?;
                 deployment
                     .upstream_proxies
-                    .push(Proxy::start(upstream.address())?);
+                    .push(Proxy::start(upstream.address(), upstream.has_crashed())?);
                 deployment.upstreams.push(upstream);
             }
         }
@@ -140,7 +162,8 @@
         }
         deployment.configure();
         for site in &mut deployment.sites {
-            let proxy = Proxy::start(site.store_address())?;
+            let never = Arc::new(AtomicBool::new(false));
+            let proxy = Proxy::start(site.store_address(), &never)?;
             site.set_store_address(proxy.address());
             deployment.store_proxies.push(proxy);
             site.spawn(program)?;
@@ -193,9 +216,11 @@
         self.wait_until(until)
     }
 
-    /// Waits until a time and restarts instances that exit unexpectedly.
+    /// Waits until a time, restarts instances that exit unexpectedly, and ends and restores
+    /// upstreams.
     pub(super) fn wait_until(&mut self, until: Instant) -> io::Result<()> {
         loop {
+            self.end_upstreams();
             for at in 0..self.sites.len() {
                 if self.has_outage(at) || !self.sites[at].has_ended() {
                     continue;
@@ -215,6 +240,69 @@
         }
     }
 
+    /// Has an upstream end if one is due, and brings back those that have been down long enough.
+    fn end_upstreams(&mut self) {
+        let Some(ends) = &mut self.ends else {
+            return;
+        };
+        if let Some(due) = ends.due() {
+            let upstream = &self.upstreams[due % self.upstreams.len()];
+            upstream.has_crashed().store(true, Ordering::Relaxed);
+        }
+        for (at, upstream) in self.upstreams.iter().enumerate() {
+            let is_known = self.ended.iter().any(|it| it.upstream == at);
+            if !is_known && upstream.has_crashed().load(Ordering::Relaxed) {
+                self.ended.push(Ended {
+                    upstream: at,
+                    at: Instant::now(),
+                    name: Some(upstream.name()),
+                    back: ends.draw(),
+                });
+            }
+        }
+        for ended in std::mem::take(&mut self.ended) {
+            let down = ended.at.elapsed();
+            if ended.back.after.is_some_and(|after| down >= after) {
+                self.bring_back(&ended);
+                continue;
+            }
+            let mut ended = ended;
+            if down >= ENTRY_LAPSE
+                && let Some(name) = ended.name.take()
+            {
+                self.sites[0].store.remove("servers", &name);
+            }
+            self.ended.push(ended);
+        }
+    }
+
+    fn bring_back(&mut self, ended: &Ended) {
+        let at = ended.upstream;
+        let old = self.upstreams[at].name();
+        let name = ended.back.has_new_name.then(|| format!("{old}n"));
+        if name.is_some() {
+            self.sites[0].store.remove("servers", &old);
+        }
+        self.upstream_proxies[at].set_dark(ended.back.is_dark_next);
+        self.upstreams[at].restart(name);
+        self.register(at, "ready");
+    }
+
+    /// Ends no further upstreams and brings all of them back.
+    pub(super) fn stop_ends(&mut self) -> io::Result<()> {
+        self.end_upstreams();
+        self.ends = None;
+        for ended in std::mem::take(&mut self.ended) {
+            self.bring_back(&ended);
+        }
+        Ok(())
+    }
+
+    /// Returns the logs of all instances.
+    pub(super) fn logs(&self) -> io::Result<Vec<String>> {
+        self.sites.iter().map(Site::log).collect()
+    }
+
     fn inject(&mut self, fault: Fault) -> io::Result<()> {
         let instances = self.sites.len();
         let upstreams = self.upstreams.len();
@@ -240,7 +328,7 @@
             Fault::Drain(at) => self.register(at % upstreams, "draining"),
             Fault::Lapse(at) => {
                 let name = self.upstreams[at % upstreams].name();
-                self.sites[0].store.remove("servers", name);
+                self.sites[0].store.remove("servers", &name);
             }
         }
         Ok(())
@@ -279,7 +367,7 @@
         entry["seq"] = json!(self.seq);
         self.sites[0]
             .store
-            .put("servers", self.upstreams[at].name(), entry);
+            .put("servers", &self.upstreams[at].name(), entry);
     }
 
     /// Writes a configuration with one additional route.
--- a/crates/rig/src/soak/proxy.rs
+++ b/crates/rig/src/soak/proxy.rs
@@ -11,11 +11,14 @@
     time::{Duration, Instant},
 };
 
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 /// Interval at which a connection checks for data and for changes of the condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
+/// Connections that a proxy queues before it accepts them.
+const LISTEN_BACKLOG: i32 = 128;
+
 /// How a proxy forwards data.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Condition {
@@ -37,6 +40,10 @@
     condition: Mutex<Condition>,
     /// Number of resets so far; a connection that was opened before the last reset is closed.
     resets: AtomicU64,
+    /// Whether the server's process has ended, so that connections are refused.
+    has_ended: Arc<AtomicBool>,
+    /// Whether its machine has ended too, so that connections get no answer at all.
+    is_dark: AtomicBool,
     is_stopping: AtomicBool,
 }
 
@@ -60,13 +67,16 @@
     /// # Errors
     ///
     /// Fails when no port can be bound.
-    pub(super) fn start(server: SocketAddr) -> io::Result<Self> {
+    pub(super) fn start(server: SocketAddr, has_ended: &Arc<AtomicBool>) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         listener.set_nonblocking(true)?;
-        let shared = Arc::new(Shared::default());
+        let shared = Arc::new(Shared {
+            has_ended: Arc::clone(has_ended),
+            ..Shared::default()
+        });
         let held = Arc::clone(&shared);
-        thread::spawn(move || accept(&listener, server, &held));
+        thread::spawn(move || accept(listener, server, &held));
         Ok(Self { address, shared })
     }
 
@@ -80,6 +90,11 @@
         *self.shared.condition() = condition;
     }
 
+    /// Sets whether the server ends in silence when it ends the next time.
+    pub(super) fn set_dark(&self, is_dark: bool) {
+        self.shared.is_dark.store(is_dark, Ordering::Relaxed);
+    }
+
     /// Resets all open connections.
     pub(super) fn reset(&self) {
         self.shared.resets.fetch_add(1, Ordering::Relaxed);
@@ -92,8 +107,17 @@
     }
 }
 
-fn accept(listener: &TcpListener, server: SocketAddr, shared: &Arc<Shared>) {
+fn accept(mut listener: TcpListener, server: SocketAddr, shared: &Arc<Shared>) {
     while !shared.is_stopping.load(Ordering::Relaxed) {
+        if shared.has_ended.load(Ordering::Relaxed) {
+            listener = match while_ended(listener, shared) {
+                Ok(listener) => listener,
+                Err(e) => {
+                    eprintln!("a proxy does not listen again after its server's end: {e}");
+                    return;
+                }
+            };
+        }
         let Ok((client, _)) = listener.accept() else {
             thread::sleep(POLL_INTERVAL);
             continue;
@@ -106,6 +130,43 @@
     }
 }
 
+/// Behaves as the machine of a server whose process has ended, until it is up again; returns the
+/// listener for further connections.
+fn while_ended(listener: TcpListener, shared: &Shared) -> io::Result<TcpListener> {
+    let address = listener.local_addr()?;
+    let is_dark = shared.is_dark.load(Ordering::Relaxed);
+    let has_ended =
+        || shared.has_ended.load(Ordering::Relaxed) && !shared.is_stopping.load(Ordering::Relaxed);
+    let listener = if is_dark {
+        // Once the queue of a listener that accepts nothing is full, connects get no answer.
+        SockRef::from(&listener).listen(0)?;
+        let fill = || TcpStream::connect_timeout(&address, POLL_INTERVAL).ok();
+        let queued: Vec<_> = (0..3).map(|_| fill()).collect();
+        while has_ended() {
+            thread::sleep(POLL_INTERVAL);
+        }
+        drop(queued);
+        SockRef::from(&listener).listen(LISTEN_BACKLOG)?;
+        listener
+    } else {
+        drop(listener);
+        // A bound socket that does not listen keeps the port and refuses connections.
+        let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
+        socket.set_reuse_address(true)?;
+        socket.bind(&address.into())?;
+        shared.resets.fetch_add(1, Ordering::Relaxed);
+        while has_ended() {
+            thread::sleep(POLL_INTERVAL);
+        }
+        socket.listen(LISTEN_BACKLOG)?;
+        socket.into()
+    };
+    listener.set_nonblocking(true)?;
+    // The connections of the last incarnation end at the latest now.
+    shared.resets.fetch_add(1, Ordering::Relaxed);
+    Ok(listener)
+}
+
 fn proxy_connection(
     client: &TcpStream,
     server: SocketAddr,
@@ -147,12 +208,13 @@
             break;
         }
         let condition = *shared.condition();
-        let is_held = match condition {
-            Condition::Sound | Condition::Delayed(_) => false,
-            Condition::CutThere => to_server,
-            Condition::CutBack => !to_server,
-            Condition::Silent => true,
-        };
+        let is_held = shared.has_ended.load(Ordering::Relaxed)
+            || match condition {
+                Condition::Sound | Condition::Delayed(_) => false,
+                Condition::CutThere => to_server,
+                Condition::CutBack => !to_server,
+                Condition::Silent => true,
+            };
         if is_held {
             thread::sleep(POLL_INTERVAL);
             continue;
