tier: tell instances that become known what is in quarantine

Cause: the instance that reached the verdict did not know the others yet, as its link to the store had been cut, and the store was away; it was stopped before it published anything. A verdict was told once, to whoever was known.

Change: instances that appear in the list for the first time are told all quarantines in force.

--- a/crates/tier/src/crash/tracker.rs
+++ b/crates/tier/src/crash/tracker.rs
@@ -181,6 +181,16 @@
         (until > now).then(|| until.since(now))
     }
 
+    /// Returns the requests in quarantine, with the time for which they stay there.
+    pub fn quarantined(&self, now: Time) -> impl Iterator<Item = (u64, Duration)> {
+        let left = move |record: &Record| {
+            let until = record.quarantined_until.filter(|until| *until > now);
+            until.map(|until| until.since(now))
+        };
+        let records = self.records.iter();
+        records.filter_map(move |(digest, record)| Some((*digest, left(record)?)))
+    }
+
     /// Returns whether crashes count against a request.
     pub fn is_suspected(&self, digest: u64) -> bool {
         let record = self.records.get(&digest);
@@ -227,9 +237,7 @@
         let (Some(first), Some(last)) = (times().min(), times().max()) else {
             return false;
         };
-        self.crashes.len() >= MIN_CRASHES
-            && calls.len() >= MIN_CALLS
-            && last.since(first) >= MIN_SPAN
+        self.crashes.len() >= MIN_CRASHES && calls.len() >= MIN_CALLS && last.since(first) >= MIN_SPAN
     }
 }
 
--- a/crates/tier/src/handover.rs
+++ b/crates/tier/src/handover.rs
@@ -97,8 +97,9 @@
 }
 
 impl Instances {
-    /// Replaces the list of instances; the state of those that are unchanged is kept.
-    pub fn set(&mut self, all: Vec<Instance>, own: &str) {
+    /// Replaces the list of instances; the state of those that are unchanged is kept. Returns the
+    /// other instances that are new.
+    pub fn set(&mut self, all: Vec<Instance>, own: &str) -> Vec<Instance> {
         self.count = Some(all.len().max(1));
         self.cpu_shares.clear();
         for instance in &all {
@@ -115,19 +116,24 @@
             }
         }
         let old = std::mem::take(&mut self.peers);
+        let mut new = Vec::new();
         let others = all.into_iter().filter(|it| it.name.as_str() != own);
         self.peers = others
             .map(|instance| {
                 let known = old.iter().find(|peer| peer.instance == instance);
-                known.cloned().unwrap_or(Peer {
-                    instance,
-                    pending: 0,
-                    last_activity: None,
-                    ejections: 0,
-                    ejected_until: Time::ZERO,
+                known.cloned().unwrap_or_else(|| {
+                    new.push(instance.clone());
+                    Peer {
+                        instance,
+                        pending: 0,
+                        last_activity: None,
+                        ejections: 0,
+                        ejected_until: Time::ZERO,
+                    }
                 })
             })
             .collect();
+        new
     }
 
     /// Returns the number of instances, if it is known.
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -125,7 +125,7 @@
             Event::EntriesListed(entries) => self.on_entries_listed(now, entries, effects),
             Event::EntryChanged(entry) => self.on_entry_changed(now, entry, effects),
             Event::EntryRemoved(name) => self.on_entry_removed(now, &name, effects),
-            Event::Instances(all) => self.instances.set(all, &self.settings.instance),
+            Event::Instances(all) => self.on_instances(now, all, effects),
             Event::HandOverEnded(id, end) => self.on_handover_ended(now, id, end, effects),
             Event::LimitedShards(id, limited_shards) => {
                 self.on_limited_shards(now, id, &limited_shards)
--- a/crates/tier/src/tier/crashes.rs
+++ b/crates/tier/src/tier/crashes.rs
@@ -160,6 +160,23 @@
         verdict
     }
 
+    /// Applies a list of the instances. Those that were not known before are told what is in
+    /// quarantine, as they may have missed it.
+    pub(super) fn on_instances(
+        &mut self,
+        now: Time,
+        all: Vec<Instance>,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let new = self.instances.set(all, &self.settings.instance);
+        if new.is_empty() {
+            return;
+        }
+        for (digest, left) in self.crashes.quarantined(now) {
+            effects.push(Effect::ShareQuarantine(digest, left, new.clone()));
+        }
+    }
+
     /// Returns the instances that collect the crashes of a request, besides this one.
     fn collectors(&self, now: Time, digest: u64) -> Vec<Instance> {
         let own = &self.settings.instance;
--- a/crates/tier/tests/crashing/world.rs
+++ b/crates/tier/tests/crashing/world.rs
@@ -82,6 +82,8 @@
     pub(super) instances: usize,
     /// Number of records of instances that are gone.
     pub(super) stale_records: usize,
+    /// Time until the instances know each other.
+    pub(super) instances_known_after: Option<Duration>,
     /// Number of upstreams, over all services.
     pub(super) upstreams: usize,
     /// Number of shards; with more than one, all requests are searches.
@@ -115,6 +117,7 @@
         Self {
             instances: 12,
             stale_records: 0,
+            instances_known_after: None,
             upstreams: 24,
             shards: 1,
             idempotent: true,
@@ -351,7 +354,12 @@
         let all = (0..records).map(record).collect();
         self.deliver(instance, Event::Config(Rc::clone(&self.config)));
         self.deliver(instance, Event::EntriesListed(entries));
-        self.deliver(instance, Event::Instances(all));
+        match self.scenario.instances_known_after {
+            Some(after) if self.now < Time::ZERO + after => {
+                self.schedule(after, Step::Told(instance, Event::Instances(all)));
+            }
+            _ => self.deliver(instance, Event::Instances(all)),
+        }
         self.read_store(instance, self.starts[instance]);
     }
 
