tier: more evidence before crashes of one upstream alone convict a request

Cause: two crashing requests ended the one upstream of a service that was left, three times in two seconds; it took 709 ms a request, so that the same harmless content was in flight each time and had no reply yet.

Change: crashes of one upstream alone need five, not three; two more are within the three attempts that the platform allows after the third crash. Crashes of two upstreams still need three.

--- a/crates/tier/src/crash/tracker.rs
+++ b/crates/tier/src/crash/tracker.rs
@@ -13,6 +13,10 @@
 /// Number of upstreams that a request has to crash before it is quarantined.
 const MIN_CRASHES: usize = 3;
 
+/// The same if all of them are crashes of one upstream: other requests that it mostly runs when it
+/// crashes look alike. Three more crashes are as many as the platform allows after the third.
+const MIN_CRASHES_OF_ONE: usize = 5;
+
 /// Number of calls with the request among those: a search crashes many upstreams at once, and so
 /// does a failing rack.
 const MIN_CALLS: usize = 2;
@@ -237,7 +241,12 @@
         let (Some(first), Some(last)) = (times().min(), times().max()) else {
             return false;
         };
-        self.crashes.len() >= MIN_CRASHES && calls.len() >= MIN_CALLS && last.since(first) >= MIN_SPAN
+        let upstreams: HashSet<_> = self.crashes.iter().map(|crash| &crash.upstream).collect();
+        let needed = match upstreams.len() {
+            0 | 1 => MIN_CRASHES_OF_ONE,
+            _ => MIN_CRASHES,
+        };
+        self.crashes.len() >= needed && calls.len() >= MIN_CALLS && last.since(first) >= MIN_SPAN
     }
 }
 
--- a/crates/tier/tests/decisions.rs
+++ b/crates/tier/tests/decisions.rs
@@ -253,10 +253,35 @@
     };
     assert_eq!(
         crashes.record_crash(at(1_800), up_again),
+        Verdict::Suspected
+    );
+    assert_eq!(crashes.crashes(7), 3);
+    let elsewhere = crash(4, "v", 2_500);
+    assert_eq!(
+        crashes.record_crash(at(2_500), elsewhere),
         Verdict::Quarantined
     );
 }
 
+/// Guards against a quarantine of requests that one slow upstream ran each time another request
+/// crashed it (soak with crashes, seed 15).
+#[test]
+fn crashes_of_one_upstream_alone_need_more_evidence() {
+    let mut crashes = CrashTracker::default();
+    let verdicts: Vec<Verdict> = (1..=5)
+        .map(|start| {
+            let ms = start * 1_000;
+            let crash = Crash {
+                started_ms: start,
+                ..crash(start, "u", ms)
+            };
+            crashes.record_crash(at(ms), crash)
+        })
+        .collect();
+    assert_eq!(verdicts[..4], [Verdict::Suspected; 4]);
+    assert_eq!(verdicts[4], Verdict::Quarantined);
+}
+
 #[test]
 fn a_reply_acquits_a_request() {
     let mut crashes = CrashTracker::default();
