tier: test that resets and closed connections quarantine no request

The cause now, shown in the reducer: a reset breaks the requests in flight and closes the kept connections; the next request then fails before it is sent, which the shell reported as an upstream that refuses connections, and that confirmed the crash of two calls at once. The new test, played on with the outcome of that code (Unreachable), quarantines the request; on the present code a closed connection is Unsent, and only a probe can confirm.

--- a/crates/tier/tests/crashing/world.rs
+++ b/crates/tier/tests/crashing/world.rs
@@ -52,6 +52,9 @@
 /// Number of contents of which none is drawn twice.
 pub(super) const UNIQUE: u64 = 1 << 40;
 
+/// Time after a reset for which kept connections turn out to be closed.
+const STALE_TIME: Duration = Duration::from_millis(80);
+
 /// Digests from here on belong to harmless requests.
 const FIRST_HARMLESS: u64 = 1_000;
 
@@ -174,6 +177,8 @@
     down_until: Option<Time>,
     is_silent: bool,
     is_cut: bool,
+    /// Time until which attempts find kept connections that a reset has closed.
+    stale_until: Time,
 }
 
 #[derive(Debug)]
@@ -400,6 +405,7 @@
             Step::Reset => {
                 let upstream = self.rng.random_range(0..self.upstreams.len());
                 self.break_connections(upstream);
+                self.upstreams[upstream].stale_until = self.now + STALE_TIME;
             }
             Step::End => {
                 for upstream in 0..self.upstreams.len() {
@@ -574,6 +580,8 @@
                 let timed_out = Step::Outcome(sent, Some(Failure::Unreachable));
                 self.schedule(CONNECT_TIMEOUT, timed_out);
             }
+        } else if is_up && it.stale_until > self.now && is_lost {
+            self.schedule(DELAY, Step::Outcome(sent, Some(Failure::Unsent)));
         } else if !is_up {
             self.schedule(DELAY, Step::Outcome(sent, Some(Failure::Unreachable)));
         } else {
@@ -735,6 +743,7 @@
         down_until: None,
         is_silent: false,
         is_cut: false,
+        stale_until: Time::ZERO,
     }
 }
 
--- a/crates/tier/tests/handover.rs
+++ b/crates/tier/tests/handover.rs
@@ -7,11 +7,12 @@
     Answer, Config, Effect, Entry, Event, Failure, HandOverOutcome, Instance, Origin, Outcome,
     Route, Settings, Target,
     config::{Gather, Limits, Service},
+    crash::suspicion::ProbeResult,
 };
 
 use crate::{
     instance::{TestInstance, handover, sent},
-    simulation::Sim,
+    simulation::{Sim, SimReply},
 };
 
 const SHARDS: usize = 40;
@@ -297,3 +298,42 @@
         instance.on(Event::CallerGone(CallId(200 + id)));
     }
 }
+
+/// Guards against a quarantine by resets alone (soak, seed 829): they break requests in flight and
+/// close kept connections, on which the next request then fails before it is sent.
+#[test]
+fn resets_and_closed_connections_quarantine_no_request() {
+    let mut instance = test_instance("here-1", 1.0);
+    let mut searches = Vec::new();
+    for id in 1..=6 {
+        instance.now = instance.now + Duration::from_millis(5);
+        let effects = instance.call(id, Origin::Caller, None);
+        searches.push(sent(&effects));
+    }
+    for (search, attempts) in searches.iter().enumerate() {
+        instance.now = instance.now + Duration::from_millis(1);
+        let failure = match search {
+            0..4 => Failure::Broken,
+            _ => Failure::Unsent,
+        };
+        for (shard, attempt) in attempts.iter().enumerate() {
+            let outcome = match shard {
+                0 => Outcome::Failed(failure),
+                _ => Outcome::Reply(SimReply::gathered(Vec::new())),
+            };
+            let effects = instance.on(Event::AttemptEnded(*attempt, outcome));
+            assert!(!effects.iter().any(quarantines), "{effects:?}");
+        }
+    }
+    let effects = instance.after(Duration::from_millis(200));
+    for effect in effects {
+        if let Effect::Probe(upstream, _) = effect {
+            let effects = instance.on(Event::Probed(upstream, ProbeResult::Accepted));
+            assert!(!effects.iter().any(quarantines), "{effects:?}");
+        }
+    }
+}
+
+fn quarantines(effect: &Effect<Sim>) -> bool {
+    matches!(effect, Effect::Quarantine(_))
+}
