node: known red: resets quarantine an answered request in serve

It recognizes a crash by the broken connection alone, shares each broken upstream with the peers, and probes a new request before the fan-out, so the incident's first three causes are not in it. But two broken connections within a minute quarantine a request even if it was answered in between. No code is changed.

--- a/crates/node/tests/blame.rs
+++ b/crates/node/tests/blame.rs
@@ -2,9 +2,10 @@
 
 use std::time::Duration;
 
+use base::Time;
 use bytes::Bytes;
 use cat::Class;
-use node::Answer;
+use node::{Answer, quarantine::Quarantine};
 use rig::sim::{Scenario, World};
 
 /// Instances in the data centre.
@@ -57,3 +58,17 @@
         assert!(broken <= 2, "seed {seed}: {broken} upstreams broke");
     }
 }
+
+/// Guards against a quarantine by resets alone: two connections broke within a minute, and replies
+/// to the request in between counted for nothing.
+#[test]
+fn resets_of_an_answered_request_do_not_quarantine_it() {
+    let mut quarantine = Quarantine::default();
+    let digest = 7;
+    for (second, upstream) in [(0, "u-1"), (20, "u-2"), (40, "u-3")] {
+        let now = Time::ZERO + Duration::from_secs(second);
+        quarantine.record_broken(now, digest, &upstream.parse().unwrap());
+        quarantine.record_answered(digest);
+        assert!(quarantine.remaining(now, digest).is_none(), "{upstream}");
+    }
+}
