--- a/crates/rig/src/soak/proxy.rs
+++ b/crates/rig/src/soak/proxy.rs
@@ -153,12 +153,15 @@
         // A bound socket that does not listen keeps the port and refuses connections.
         let socket = Socket::new(Domain::for_address(address), Type::STREAM, None)?;
         socket.set_reuse_address(true)?;
-        socket.bind(&address.into())?;
+        // Another process may use the port for an outgoing connection for a moment.
+        while socket.bind(&address.into()).is_err() && has_ended() {
+            thread::sleep(POLL_INTERVAL);
+        }
         shared.resets.fetch_add(1, Ordering::Relaxed);
         while has_ended() {
             thread::sleep(POLL_INTERVAL);
         }
-        socket.listen(LISTEN_BACKLOG)?;
+        listen_again(&socket, address, shared)?;
         socket.into()
     };
     listener.set_nonblocking(true)?;
@@ -167,6 +170,20 @@
     Ok(listener)
 }
 
+/// Listens on a socket that may not have got its port back yet.
+fn listen_again(socket: &Socket, address: SocketAddr, shared: &Shared) -> io::Result<()> {
+    loop {
+        let is_bound = socket.local_addr()?.as_socket() == Some(address);
+        match is_bound || socket.bind(&address.into()).is_ok() {
+            true => return socket.listen(LISTEN_BACKLOG),
+            false if shared.is_stopping.load(Ordering::Relaxed) => {
+                return Err(io::ErrorKind::AddrInUse.into());
+            }
+            false => thread::sleep(POLL_INTERVAL),
+        }
+    }
+}
+
 fn proxy_connection(
     client: &TcpStream,
     server: SocketAddr,
