edge: close only the idle connections to an upstream that is down

Cause: the change of closed idle connections to an upstream that refused one by forgetting its pool, which also forgot the permits of the connections in use: until those ended, an instance could open more connections than its share of the upstream's limit.

Change: an effect of its own closes the idle connections and leaves the permits. Two more costs from reading: an instance that restarts reads the quarantines with a stale read, at a tenth of the price and outside of the rate, as all instances may restart at once (what is missing from it is read 1.5 s later, or learned from the first crash); and instances remove an old quarantine at different times, so that mostly one does.

--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -200,6 +200,7 @@
             Effect::Confirm(call, to) => self.peers.confirm(call, &to),
             Effect::Ping(name) => self.peers.ping(&name),
             Effect::Forget(upstream) => self.pools.forget(upstream),
+            Effect::CloseIdle(upstream) => self.pools.close_idle(upstream),
             Effect::Probe(upstream, address) => {
                 let shell = Rc::clone(self);
                 spawn(super::upstreams::probe_upstream(shell, upstream, address)).detach();
--- a/crates/briarcove/src/edge/sync/quarantines.rs
+++ b/crates/briarcove/src/edge/sync/quarantines.rs
@@ -21,13 +21,14 @@
 /// Maximum number of quarantines that are written, or removed, after one probe.
 const MAX_WRITES: usize = 4;
 
-/// Published quarantines by digest, with the times at which this instance first saw them.
+/// Published quarantines by digest, with the times from which this instance removes them. They differ
+/// between instances, so that mostly one does.
 pub(super) type Published = HashMap<u64, Instant>;
 
 /// Lists the quarantines at the start, so that a restarted instance refuses from its first request
 /// on what the others refuse.
 pub(super) async fn read(sync: &Sync, store: &mut Store) {
-    match store.list(KIND, Freshness::Latest).await {
+    match store.list(KIND, Freshness::Stale).await {
         Ok(listed) => apply(sync, store, &listed.objects).await,
         Err(e) => warn!(sync.shell.log, "failed to list quarantined requests"; "error" => %e),
     }
@@ -47,11 +48,11 @@
             continue;
         };
         let has_ended = sync.shell.ended_quarantines.borrow().contains(&digest);
-        let seen = sync.published.borrow().get(&digest).copied();
-        if has_ended || seen.is_some_and(|seen| seen.elapsed() > PUBLISHED_PERIOD) {
+        let remove_at = sync.published.borrow().get(&digest).copied();
+        if has_ended || remove_at.is_some_and(|at| at <= Instant::now()) {
             is_over.push((digest, object));
-        } else if seen.is_none() {
-            sync.published.borrow_mut().insert(digest, Instant::now());
+        } else if remove_at.is_none() {
+            note_published(sync, digest);
             sync.shell.dispatch(Event::Quarantine(digest));
         }
     }
@@ -70,6 +71,12 @@
     }
 }
 
+/// Records that the store holds a quarantine.
+fn note_published(sync: &Sync, digest: u64) {
+    let remove_at = Instant::now() + sync.shell.jitter(PUBLISHED_PERIOD * 2);
+    sync.published.borrow_mut().insert(digest, remove_at);
+}
+
 /// Writes quarantines to the store for the other instances.
 pub(super) async fn publish(sync: &Sync, store: &mut Store) {
     for _ in 0..MAX_WRITES {
@@ -82,7 +89,8 @@
             Ok(()) | Err(Error::Conflict) => {
                 let mut pending = sync.shell.pending_quarantines.borrow_mut();
                 pending.retain(|it| *it != digest);
-                sync.published.borrow_mut().insert(digest, Instant::now());
+                drop(pending);
+                note_published(sync, digest);
             }
             Err(e) => {
                 warn!(sync.shell.log, "failed to publish a quarantine"; "error" => %e);
--- a/crates/briarcove/src/edge/upstreams.rs
+++ b/crates/briarcove/src/edge/upstreams.rs
@@ -64,7 +64,17 @@
 }
 
 impl Pools {
-    /// Closes the idle connections to an upstream.
+    /// Closes the idle connections to an upstream; the permits of the others stay taken.
+    pub(super) fn close_idle(&self, upstream: UpstreamKey) {
+        let mut pools = self.0.borrow_mut();
+        let idle = pools
+            .get_mut(&upstream)
+            .map(|pool| std::mem::take(&mut pool.idle));
+        drop(pools);
+        drop(idle);
+    }
+
+    /// Closes the idle connections to an upstream that was removed.
     pub(super) fn forget(&self, upstream: UpstreamKey) {
         let pool = self.0.borrow_mut().remove(&upstream);
         drop(pool);
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -33,6 +33,8 @@
     Ping(InstanceName),
     /// Closes the idle connections to a removed upstream.
     Forget(UpstreamKey),
+    /// Closes the idle connections to an upstream that is down.
+    CloseIdle(UpstreamKey),
     /// Probes whether an upstream accepts connections.
     Probe(UpstreamKey, SocketAddr),
     /// Publishes a quarantined request, given by its digest, on the platform.
--- a/crates/tier/src/tier/crashes.rs
+++ b/crates/tier/src/tier/crashes.rs
@@ -125,7 +125,7 @@
         if let Some(upstream) = self.directory.get_mut(key) {
             upstream.down_at = Some(now);
             // Whatever is sent from now on needs a connection that the upstream accepts.
-            effects.push(Effect::Forget(key));
+            effects.push(Effect::CloseIdle(key));
         }
         for crash in self.suspicions.confirm(key) {
             let digest = crash.digest;
--- a/crates/tier/src/tier/outcomes.rs
+++ b/crates/tier/src/tier/outcomes.rs
@@ -117,7 +117,7 @@
             Failure::Broken => self.suspect(now, attempt, true, effects),
             Failure::Unreachable => {
                 upstream.down_at = Some(now);
-                effects.push(Effect::Forget(key));
+                effects.push(Effect::CloseIdle(key));
                 if self.suspicions.has(key) {
                     self.timers.set(now, Due::CheckSuspect(key));
                 }
--- a/crates/tier/tests/simulation.rs
+++ b/crates/tier/tests/simulation.rs
@@ -262,6 +262,7 @@
                 self.deliver(instance, Event::Probed(key, result));
             }
             Effect::Forget(_)
+            | Effect::CloseIdle(_)
             | Effect::Quarantine(_)
             | Effect::Unquarantine(_)
             | Effect::ReportCrash(..)
