tier, rig: plainer names for the outcome of crashes and replies

Reading the diff as a newcomer: verdict, acquittal and audience stand for the outcome of a crash, that of a reply, and the recipients of a message. No behaviour changes; the tests are renamed with their words and check the same.

--- a/crates/rig/src/soak/crashing.rs
+++ b/crates/rig/src/soak/crashing.rs
@@ -38,7 +38,7 @@
     /// Whether it has a new name then.
     pub(super) has_new_name: bool,
     /// Whether its next end is in silence.
-    pub(super) is_dark_next: bool,
+    pub(super) ends_silently_next: bool,
 }
 
 impl Ends {
@@ -71,7 +71,7 @@
         Return {
             after,
             has_new_name: self.rng.random_bool(0.5),
-            is_dark_next: self.rng.random_bool(0.25),
+            ends_silently_next: self.rng.random_bool(0.25),
         }
     }
 }
--- a/crates/rig/src/soak/deployment.rs
+++ b/crates/rig/src/soak/deployment.rs
@@ -293,7 +293,7 @@
         if name.is_some() {
             self.sites[0].store.remove("servers", &old);
         }
-        self.upstream_proxies[at].set_dark(ended.back.is_dark_next);
+        self.upstream_proxies[at].set_silent_end(ended.back.ends_silently_next);
         self.upstreams[at].restart(name);
         self.register(at, "ready");
     }
--- a/crates/rig/src/soak/proxy.rs
+++ b/crates/rig/src/soak/proxy.rs
@@ -43,7 +43,7 @@
     /// Whether the server's process has ended, so that connections are refused.
     has_ended: Arc<AtomicBool>,
     /// Whether its machine has ended too, so that connections get no answer at all.
-    is_dark: AtomicBool,
+    ends_silently: AtomicBool,
     is_stopping: AtomicBool,
 }
 
@@ -91,8 +91,10 @@
     }
 
     /// Sets whether the server ends in silence when it ends the next time.
-    pub(super) fn set_dark(&self, is_dark: bool) {
-        self.shared.is_dark.store(is_dark, Ordering::Relaxed);
+    pub(super) fn set_silent_end(&self, is_silent: bool) {
+        self.shared
+            .ends_silently
+            .store(is_silent, Ordering::Relaxed);
     }
 
     /// Resets all open connections.
@@ -134,10 +136,10 @@
 /// listener for further connections.
 fn while_ended(listener: TcpListener, shared: &Shared) -> io::Result<TcpListener> {
     let address = listener.local_addr()?;
-    let is_dark = shared.is_dark.load(Ordering::Relaxed);
+    let ends_silently = shared.ends_silently.load(Ordering::Relaxed);
     let has_ended =
         || shared.has_ended.load(Ordering::Relaxed) && !shared.is_stopping.load(Ordering::Relaxed);
-    let listener = if is_dark {
+    let listener = if ends_silently {
         // Once the queue of a listener that accepts nothing is full, connects get no answer.
         SockRef::from(&listener).listen(0)?;
         let fill = || TcpStream::connect_timeout(&address, POLL_INTERVAL).ok();
--- a/crates/tier/src/crash.rs
+++ b/crates/tier/src/crash.rs
@@ -6,7 +6,7 @@
 //!
 //! A request without a reply is only suspected ([`suspicion`]). It counts as the cause of a crash
 //! once its upstream is found down or restarted. A harmless request gets a reply elsewhere, which
-//! acquits it; one that crashed several upstreams at different times and got no reply since is
+//! clears it of suspicion; one that crashed several upstreams at different times and got no reply since is
 //! quarantined ([`tracker`]).
 
 pub mod suspicion;
--- a/crates/tier/src/crash/tracker.rs
+++ b/crates/tier/src/crash/tracker.rs
@@ -69,7 +69,7 @@
 
 /// The effect of a crash on the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Verdict {
+pub enum CrashOutcome {
     /// The crash was known, or the request has had a reply.
     Unchanged,
     /// The crash counts.
@@ -80,11 +80,11 @@
 
 /// The effect of a reply on the request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Acquittal {
+pub enum ReplyOutcome {
     /// No crash counted against the request.
-    Unneeded,
+    Unchanged,
     /// Crashes no longer count against the request.
-    Acquitted,
+    Cleared,
     /// Neither do they, and its quarantine has ended.
     Released,
 }
@@ -102,13 +102,13 @@
 
 impl CrashTracker {
     /// Records a crash.
-    pub fn record_crash(&mut self, now: Time, crash: Crash) -> Verdict {
+    pub fn record_crash(&mut self, now: Time, crash: Crash) -> CrashOutcome {
         if self.was_answered(crash.at, crash.digest, &crash.service) {
-            return Verdict::Unchanged;
+            return CrashOutcome::Unchanged;
         }
         let record = self.record(now, crash.digest);
         if record.crashes.iter().any(|known| crash.is_same(known)) {
-            return Verdict::Unchanged;
+            return CrashOutcome::Unchanged;
         }
         record
             .crashes
@@ -119,25 +119,25 @@
         }
         record.crashes.push(crash);
         if record.is_quarantined(now) || !record.is_conclusive() {
-            return Verdict::Suspected;
+            return CrashOutcome::Suspected;
         }
         let period = QUARANTINE_PERIOD * 2_u32.pow(record.quarantines.min(MAX_DOUBLINGS));
         record.quarantined_until = Some(now + period);
         record.quarantines += 1;
-        Verdict::Quarantined
+        CrashOutcome::Quarantined
     }
 
     /// Records that an upstream has replied to a request, whatever the reply.
-    pub fn record_reply(&mut self, now: Time, digest: u64, service: &ServiceName) -> Acquittal {
+    pub fn record_reply(&mut self, now: Time, digest: u64, service: &ServiceName) -> ReplyOutcome {
         let key = reply_key(digest, service);
         self.replies[slot(key)] = (key, now);
         let Some(record) = self.records.get_mut(&digest) else {
-            return Acquittal::Unneeded;
+            return ReplyOutcome::Unchanged;
         };
         let before = record.crashes.len();
         record.crashes.retain(|crash| crash.service != *service);
         if record.crashes.len() == before {
-            return Acquittal::Unneeded;
+            return ReplyOutcome::Unchanged;
         }
         if !record.is_conclusive()
             && record
@@ -145,9 +145,9 @@
                 .take()
                 .is_some_and(|until| until > now)
         {
-            return Acquittal::Released;
+            return ReplyOutcome::Released;
         }
-        Acquittal::Acquitted
+        ReplyOutcome::Cleared
     }
 
     /// Returns whether an upstream of a service has replied to a request shortly before a time, or
--- a/crates/tier/src/handover.rs
+++ b/crates/tier/src/handover.rs
@@ -48,7 +48,7 @@
 
 /// Maximum number of instances that one tells something at once: each takes a connection. The others
 /// learn it from the platform.
-const MAX_AUDIENCE: usize = 256;
+const MAX_RECIPIENTS: usize = 256;
 
 /// Maximum time since an instance's last activity for it to stay in use when another instance of
 /// its data centre is silent.
@@ -262,9 +262,9 @@
 
     /// Returns the other instances, or a random choice of them if there are too many to tell each
     /// of them something at once.
-    pub fn audience(&self, rng: &mut impl Rng) -> Vec<Instance> {
+    pub fn recipients(&self, rng: &mut impl Rng) -> Vec<Instance> {
         let all = self.peers.iter().map(|peer| peer.instance.clone());
-        all.choose_multiple(rng, MAX_AUDIENCE)
+        all.choose_multiple(rng, MAX_RECIPIENTS)
     }
 
     /// Returns another instance by its name.
--- a/crates/tier/src/tier/crashes.rs
+++ b/crates/tier/src/tier/crashes.rs
@@ -12,7 +12,7 @@
             BROKEN_CHECK_DELAY, Check, PROBE_RETRY_DELAY, ProbeResult, SILENT_CHECK_DELAY,
             SUSPICION_PERIOD,
         },
-        tracker::{Acquittal, Verdict},
+        tracker::{CrashOutcome, ReplyOutcome},
     },
     effect::{Effect, Note},
     event::Protocol,
@@ -129,19 +129,24 @@
         }
         for crash in self.suspicions.confirm(key) {
             let digest = crash.digest;
-            if self.record_crash(now, crash.clone(), effects) == Verdict::Suspected {
+            if self.record_crash(now, crash.clone(), effects) == CrashOutcome::Suspected {
                 let collectors = self.collectors(now, digest);
                 effects.push(Effect::ReportCrash(crash, collectors));
             }
         }
     }
 
-    fn record_crash(&mut self, now: Time, crash: Crash, effects: &mut Vec<Effect<C>>) -> Verdict {
+    fn record_crash(
+        &mut self,
+        now: Time,
+        crash: Crash,
+        effects: &mut Vec<Effect<C>>,
+    ) -> CrashOutcome {
         let (digest, upstream) = (crash.digest, crash.upstream.clone());
-        let verdict = self.crashes.record_crash(now, crash);
+        let outcome = self.crashes.record_crash(now, crash);
         self.note_dropped_quarantine(effects);
-        if verdict == Verdict::Unchanged {
-            return verdict;
+        if outcome == CrashOutcome::Unchanged {
+            return outcome;
         }
         let crashes = self.crashes.crashes(digest);
         effects.push(Effect::Note(Note::UpstreamCrashed {
@@ -149,15 +154,15 @@
             digest,
             crashes,
         }));
-        if verdict == Verdict::Quarantined {
+        if outcome == CrashOutcome::Quarantined {
             effects.push(Effect::Quarantine(digest));
             effects.push(Effect::Note(Note::Quarantined(digest)));
-            let audience = self.instances.audience(&mut self.rng);
+            let recipients = self.instances.recipients(&mut self.rng);
             let left = self.crashes.quarantine_left(now, digest);
-            let share = Effect::ShareQuarantine(digest, left.unwrap_or_default(), audience);
+            let share = Effect::ShareQuarantine(digest, left.unwrap_or_default(), recipients);
             effects.push(share);
         }
-        verdict
+        outcome
     }
 
     /// Applies a list of the instances. Those that were not known before are told what is in
@@ -216,7 +221,7 @@
         }
     }
 
-    /// Records that an upstream has replied to a request, which acquits it.
+    /// Records that an upstream has replied to a request, which clears it of suspicion.
     pub(super) fn on_request_answered(
         &mut self,
         now: Time,
@@ -224,12 +229,12 @@
         service: &ServiceName,
         effects: &mut Vec<Effect<C>>,
     ) {
-        let acquittal = self.crashes.record_reply(now, digest, service);
-        if acquittal != Acquittal::Unneeded {
+        let outcome = self.crashes.record_reply(now, digest, service);
+        if outcome != ReplyOutcome::Unchanged {
             let collectors = self.collectors(now, digest);
             effects.push(Effect::ReportReply(digest, service.clone(), collectors));
         }
-        self.apply_acquittal(digest, acquittal, effects);
+        self.apply_reply_outcome(digest, outcome, effects);
     }
 
     /// Records a reply that another instance has received.
@@ -240,16 +245,21 @@
         service: &ServiceName,
         effects: &mut Vec<Effect<C>>,
     ) {
-        let acquittal = self.crashes.record_reply(now, digest, service);
-        self.apply_acquittal(digest, acquittal, effects);
+        let outcome = self.crashes.record_reply(now, digest, service);
+        self.apply_reply_outcome(digest, outcome, effects);
     }
 
-    fn apply_acquittal(&mut self, digest: u64, acquittal: Acquittal, effects: &mut Vec<Effect<C>>) {
-        if acquittal == Acquittal::Released {
+    fn apply_reply_outcome(
+        &mut self,
+        digest: u64,
+        outcome: ReplyOutcome,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        if outcome == ReplyOutcome::Released {
             effects.push(Effect::Note(Note::QuarantineEnded(digest)));
             effects.push(Effect::Unquarantine(digest));
-            let audience = self.instances.audience(&mut self.rng);
-            effects.push(Effect::ShareQuarantine(digest, Duration::ZERO, audience));
+            let recipients = self.instances.recipients(&mut self.rng);
+            effects.push(Effect::ShareQuarantine(digest, Duration::ZERO, recipients));
         }
     }
 
--- a/crates/tier/tests/crashing/scenarios.rs
+++ b/crates/tier/tests/crashing/scenarios.rs
@@ -43,7 +43,7 @@
 }
 
 /// Guards against a quarantine that only one instance knows, as it did not know the others when it
-/// reached the verdict and the store was away (soak with crashes, seed 6).
+/// reached the outcome and the store was away (soak with crashes, seed 6).
 #[test]
 fn a_crashing_request_is_sent_on_three_times_at_most_when_instances_are_known_late() {
     check(&Scenario {
--- a/crates/tier/tests/decisions.rs
+++ b/crates/tier/tests/decisions.rs
@@ -11,7 +11,7 @@
     completion::{Decision, Progress, decide},
     crash::{
         Crash,
-        tracker::{Acquittal, CrashTracker, Verdict},
+        tracker::{CrashOutcome, CrashTracker, ReplyOutcome},
     },
     directory::{Change, Directory},
     merge::greatest,
@@ -211,14 +211,23 @@
     // During a network partition, one call may appear to crash many upstreams.
     for upstream in 0..20 {
         let crash = crash(1, &format!("u-{upstream}"), 500);
-        assert_ne!(crashes.record_crash(at(500), crash), Verdict::Quarantined);
+        assert_ne!(
+            crashes.record_crash(at(500), crash),
+            CrashOutcome::Quarantined
+        );
     }
     // A rack that fails ends the upstreams of several calls at one time.
     let again = crash(2, "v-1", 550);
-    assert_eq!(crashes.record_crash(at(550), again), Verdict::Suspected);
+    assert_eq!(
+        crashes.record_crash(at(550), again),
+        CrashOutcome::Suspected
+    );
     assert!(crashes.quarantine_left(at(560), 7).is_none());
     let later = crash(2, "v-2", 900);
-    assert_eq!(crashes.record_crash(at(900), later), Verdict::Quarantined);
+    assert_eq!(
+        crashes.record_crash(at(900), later),
+        CrashOutcome::Quarantined
+    );
     assert!(crashes.quarantine_left(at(1_000), 7).is_some());
 }
 
@@ -229,7 +238,10 @@
     let mut crashes = CrashTracker::default();
     for (call, ms) in [(1, 0), (2, 900), (3, 1_800), (4, 2_700)] {
         let waited = crash(call, "u", ms);
-        assert_ne!(crashes.record_crash(at(ms), waited), Verdict::Quarantined);
+        assert_ne!(
+            crashes.record_crash(at(ms), waited),
+            CrashOutcome::Quarantined
+        );
     }
     assert_eq!(crashes.crashes(7), 1);
 }
@@ -244,7 +256,7 @@
     };
     assert_eq!(
         crashes.record_crash(at(900), started_again),
-        Verdict::Suspected
+        CrashOutcome::Suspected
     );
     let up_again = Crash {
         started_ms: 2,
@@ -253,13 +265,13 @@
     };
     assert_eq!(
         crashes.record_crash(at(1_800), up_again),
-        Verdict::Suspected
+        CrashOutcome::Suspected
     );
     assert_eq!(crashes.crashes(7), 3);
     let elsewhere = crash(4, "v", 2_500);
     assert_eq!(
         crashes.record_crash(at(2_500), elsewhere),
-        Verdict::Quarantined
+        CrashOutcome::Quarantined
     );
 }
 
@@ -268,7 +280,7 @@
 #[test]
 fn crashes_of_one_upstream_alone_need_more_evidence() {
     let mut crashes = CrashTracker::default();
-    let verdicts: Vec<Verdict> = (1..=5)
+    let outcomes: Vec<CrashOutcome> = (1..=5)
         .map(|start| {
             let ms = start * 1_000;
             let crash = Crash {
@@ -278,12 +290,12 @@
             crashes.record_crash(at(ms), crash)
         })
         .collect();
-    assert_eq!(verdicts[..4], [Verdict::Suspected; 4]);
-    assert_eq!(verdicts[4], Verdict::Quarantined);
+    assert_eq!(outcomes[..4], [CrashOutcome::Suspected; 4]);
+    assert_eq!(outcomes[4], CrashOutcome::Quarantined);
 }
 
 #[test]
-fn a_reply_acquits_a_request() {
+fn a_reply_clears_a_request() {
     let mut crashes = CrashTracker::default();
     let service: ServiceName = "s".parse().unwrap();
     for (call, ms) in [(1, 0), (2, 300)] {
@@ -291,34 +303,40 @@
     }
     assert_eq!(
         crashes.record_reply(at(400), 7, &service),
-        Acquittal::Acquitted
+        ReplyOutcome::Cleared
     );
     let third = crash(3, "u-3", 500);
-    assert_eq!(crashes.record_crash(at(500), third), Verdict::Unchanged);
+    assert_eq!(
+        crashes.record_crash(at(500), third),
+        CrashOutcome::Unchanged
+    );
     // An old reply does not: the data may have changed since.
     for (call, ms) in [(4, 9_000), (5, 9_300)] {
         let crash = crash(call, &format!("u-{call}"), ms);
-        assert_eq!(crashes.record_crash(at(ms), crash), Verdict::Suspected);
+        assert_eq!(crashes.record_crash(at(ms), crash), CrashOutcome::Suspected);
     }
     let sixth = crash(6, "u-6", 9_600);
-    assert_eq!(crashes.record_crash(at(9_600), sixth), Verdict::Quarantined);
+    assert_eq!(
+        crashes.record_crash(at(9_600), sixth),
+        CrashOutcome::Quarantined
+    );
     assert_eq!(
         crashes.record_reply(at(9_700), 7, &service),
-        Acquittal::Released
+        ReplyOutcome::Released
     );
     assert!(crashes.quarantine_left(at(9_800), 7).is_none());
 }
 
 #[test]
-fn a_reply_of_one_shard_does_not_acquit_a_request_that_crashes_another() {
+fn a_reply_of_one_shard_does_not_clear_a_request_that_crashes_another() {
     let mut crashes = CrashTracker::default();
     let other: ServiceName = "other".parse().unwrap();
-    let mut verdict = Verdict::Unchanged;
+    let mut outcome = CrashOutcome::Unchanged;
     for (call, ms) in [(1, 0), (2, 300), (3, 600)] {
         crashes.record_reply(at(ms), 7, &other);
-        verdict = crashes.record_crash(at(ms), crash(call, &format!("u-{call}"), ms));
+        outcome = crashes.record_crash(at(ms), crash(call, &format!("u-{call}"), ms));
     }
-    assert_eq!(verdict, Verdict::Quarantined);
+    assert_eq!(outcome, CrashOutcome::Quarantined);
 }
 
 #[test]
