--- a/crates/rig/src/soak/deployment.rs
+++ b/crates/rig/src/soak/deployment.rs
@@ -1,13 +1,12 @@
 //! The processes of a run: instances, upstreams and the store, connected through proxies.
 
+mod ended;
+
 use std::{
     collections::BinaryHeap,
     io,
     path::Path,
-    sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
-    },
+    sync::{Arc, atomic::AtomicBool},
     thread,
     time::{Duration, Instant},
 };
@@ -15,9 +14,11 @@
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
+use ended::Ended;
+
 use super::{
     check::Outage,
-    crashing::{ENTRY_LAPSE, Ends, Return},
+    crashing::Ends,
     plan::{Fault, ScheduledFault},
     proxy::{Condition, Proxy, wait_for},
 };
@@ -82,16 +83,6 @@
     pending_reverts: BinaryHeap<Revert>,
 }
 
-/// An upstream that has ended.
-#[derive(Clone, Debug)]
-struct Ended {
-    upstream: usize,
-    at: Instant,
-    /// Name under which it is registered, until its entry lapses.
-    name: Option<String>,
-    back: Return,
-}
-
 /// A scheduled end of a fault. The order is reversed, so that the earliest is the greatest and
 /// [`BinaryHeap`] returns it first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -250,64 +241,6 @@
         }
     }
 
-    /// Has an upstream end if one is due, and brings back those that have been down long enough.
-    fn end_upstreams(&mut self) {
-        let Some(ends) = &mut self.ends else {
-            return;
-        };
-        if let Some(due) = ends.due() {
-            let upstream = &self.upstreams[due % self.upstreams.len()];
-            upstream.has_crashed().store(true, Ordering::Relaxed);
-        }
-        for (at, upstream) in self.upstreams.iter().enumerate() {
-            let is_known = self.ended.iter().any(|it| it.upstream == at);
-            if !is_known && upstream.has_crashed().load(Ordering::Relaxed) {
-                self.ended.push(Ended {
-                    upstream: at,
-                    at: Instant::now(),
-                    name: Some(upstream.name()),
-                    back: ends.draw(),
-                });
-            }
-        }
-        for ended in std::mem::take(&mut self.ended) {
-            let down = ended.at.elapsed();
-            if ended.back.after.is_some_and(|after| down >= after) {
-                self.bring_back(&ended);
-                continue;
-            }
-            let mut ended = ended;
-            if down >= ENTRY_LAPSE
-                && let Some(name) = ended.name.take()
-            {
-                self.sites[0].store.remove("servers", &name);
-            }
-            self.ended.push(ended);
-        }
-    }
-
-    fn bring_back(&mut self, ended: &Ended) {
-        let at = ended.upstream;
-        let old = self.upstreams[at].name();
-        let name = ended.back.has_new_name.then(|| format!("{old}n"));
-        if name.is_some() {
-            self.sites[0].store.remove("servers", &old);
-        }
-        self.upstream_proxies[at].set_silent_end(ended.back.ends_silently_next);
-        self.upstreams[at].restart(name);
-        self.register(at, "ready");
-    }
-
-    /// Ends no further upstreams and brings all of them back.
-    pub(super) fn stop_ends(&mut self) -> io::Result<()> {
-        self.end_upstreams();
-        self.ends = None;
-        for ended in std::mem::take(&mut self.ended) {
-            self.bring_back(&ended);
-        }
-        Ok(())
-    }
-
     /// Returns the logs of all instances.
     pub(super) fn logs(&self) -> io::Result<Vec<String>> {
         self.sites.iter().map(Site::log).collect()
