tier: silence of many upstreams at a time confirms no crash

What callers saw: behind a cut, searches were quarantined that had crashed nothing.

Cause: three unanswered probes counted as an upstream that is down. A cut does that to all upstreams behind it, for as many calls as wait for them.

Change: while more than two upstreams leave probes unanswered, none of them counts as down. Refusals, entries that restart and single silent upstreams count as before.

--- a/crates/tier/src/crash/suspicion.rs
+++ b/crates/tier/src/crash/suspicion.rs
@@ -20,6 +20,10 @@
 /// Number of unanswered probes in a row after which an upstream counts as down.
 const MAX_UNANSWERED_PROBES: u32 = 3;
 
+/// Maximum number of upstreams that may leave probes unanswered at a time for any of them to count as
+/// down; more than that are a network partition or a lack of CPU time.
+const MAX_SILENT_UPSTREAMS: usize = 2;
+
 /// Time for which a request stays suspected; a fast restart is published within this time.
 pub const SUSPICION_PERIOD: Duration = Duration::from_secs(4);
 
@@ -132,7 +136,9 @@
             ProbeResult::Refused => true,
             ProbeResult::Unanswered => {
                 suspect.unanswered += 1;
-                suspect.unanswered >= MAX_UNANSWERED_PROBES
+                let is_silent = suspect.unanswered >= MAX_UNANSWERED_PROBES;
+                let silent = self.0.values().filter(|it| it.unanswered > 0).count();
+                is_silent && silent <= MAX_SILENT_UPSTREAMS
             }
         }
     }
--- a/crates/tier/tests/crashing/scenarios.rs
+++ b/crates/tier/tests/crashing/scenarios.rs
@@ -239,3 +239,19 @@
         });
     }
 }
+
+/// Guards against a quarantine by a cut alone: searches that wait for many upstreams behind it, none
+/// of which answers a probe, look like requests that crash them (bench, a day of cuts).
+#[test]
+fn a_cut_from_most_upstreams_quarantines_no_search() {
+    check(&Scenario {
+        shards: 8,
+        crashing: 0,
+        min_crashes: 0,
+        harmless_rate: 100.0,
+        harmless_contents: 50,
+        cuts_every: Some(Duration::from_secs(8)),
+        cut: (0.9, Duration::from_secs(4)),
+        ..Scenario::default()
+    });
+}
--- a/crates/tier/tests/crashing/world.rs
+++ b/crates/tier/tests/crashing/world.rs
@@ -48,9 +48,6 @@
 /// Time for which a restarting instance is down.
 const RESTART_TIME: Duration = Duration::from_millis(300);
 
-/// Duration of a cut.
-const CUT_TIME: Duration = Duration::from_secs(1);
-
 /// Number of contents of which none is drawn twice.
 pub(super) const UNIQUE: u64 = 1 << 40;
 
@@ -111,8 +108,10 @@
     pub(super) ends_every: Option<Duration>,
     /// Whether those end in silence.
     pub(super) ends_in_silence: bool,
-    /// Interval at which a fifth of the upstreams are cut off from all instances.
+    /// Interval at which upstreams are cut off from all instances.
     pub(super) cuts_every: Option<Duration>,
+    /// Share of the upstreams that a cut affects, and its duration.
+    pub(super) cut: (f64, Duration),
     /// Minimum number of crashes without which a run proves nothing.
     pub(super) min_crashes: usize,
 }
@@ -136,6 +135,7 @@
             ends_every: None,
             ends_in_silence: false,
             cuts_every: None,
+            cut: (0.2, Duration::from_secs(1)),
             min_crashes: 3,
         }
     }
@@ -422,9 +422,10 @@
             }
             Step::Cut => {
                 for upstream in 0..self.upstreams.len() {
-                    if self.rng.random_bool(0.2) {
+                    let (share, time) = self.scenario.cut;
+                    if self.rng.random_bool(share) {
                         self.upstreams[upstream].is_cut = true;
-                        self.schedule(CUT_TIME, Step::Mend(upstream));
+                        self.schedule(time, Step::Mend(upstream));
                     }
                 }
             }
