tier: bound what a wrong quarantine can refuse

Change: a request that has arrived 24 times or more in the last minute, and is one in a hundred or more, is not quarantined: one that crashes upstreams is recognized after a few arrivals. At most 32 are in quarantine at a time, and the newest verdicts are withheld. Unanswered probes prove nothing while timers fire 100 ms late or more, or if the machine is out of descriptors. Log lines and counts for each.

--- a/crates/briarcove/src/edge/note_log.rs
+++ b/crates/briarcove/src/edge/note_log.rs
@@ -87,9 +87,23 @@
                 info!(self.log, "quarantine learned from another instance";
                     "digest" => format!("{digest:016x}"));
             }
-            Note::QuarantineFull(digest) => {
-                warn!(self.log, "too many quarantined requests; one is no longer refused";
-                    "digest" => format!("{digest:016x}"));
+            Note::QuarantineWithheld(digest) => {
+                if self.is_within_rate(now) {
+                    warn!(self.log, "request not quarantined: it is common, or too many others are";
+                        "digest" => format!("{digest:016x}"));
+                } else {
+                    self.dropped.set(self.dropped.get() + 1);
+                }
+            }
+            Note::ProbeInconclusive => {
+                if self.is_within_rate(now) {
+                    info!(
+                        self.log,
+                        "unanswered probe ignored: this instance lacks CPU time or descriptors"
+                    );
+                } else {
+                    self.dropped.set(self.dropped.get() + 1);
+                }
             }
             Note::QuarantineEnded(digest) => {
                 info!(self.log, "quarantine ended, as an upstream has replied to the request";
--- a/crates/briarcove/src/edge/upstreams.rs
+++ b/crates/briarcove/src/edge/upstreams.rs
@@ -207,6 +207,14 @@
     .await
 }
 
+/// Returns whether a connection failed for want of descriptors, ports or memory of this machine.
+fn is_out_of_resources(e: &io::Error) -> bool {
+    matches!(
+        e.raw_os_error(),
+        Some(libc::EMFILE | libc::ENFILE | libc::ENOBUFS | libc::ENOMEM | libc::EADDRNOTAVAIL)
+    )
+}
+
 /// Checks whether a connection to an upstream can be opened.
 pub(super) async fn probe_upstream(shell: Rc<Shell>, upstream: UpstreamKey, address: SocketAddr) {
     let wait = tier::reachability::PROBE_INTERVAL;
@@ -215,6 +223,7 @@
     let result = match opened {
         Ok(_) => ProbeResult::Accepted,
         Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
+        Err(e) if is_out_of_resources(&e) => ProbeResult::Unsent,
         Err(_) => ProbeResult::Unanswered,
     };
     shell.dispatch(Event::Probed(upstream, result));
--- a/crates/tier/src/crash.rs
+++ b/crates/tier/src/crash.rs
@@ -7,8 +7,12 @@
 //! A request without a reply is only suspected ([`suspicion`]). It counts as the cause of a crash
 //! once its upstream is found down or restarted. A harmless request gets a reply elsewhere, which
 //! clears it of suspicion; one that crashed several upstreams at different times and got no reply since is
-//! quarantined ([`tracker`]).
+//! quarantined ([`tracker`]). Whatever the evidence, the harm of a wrong verdict is bounded: a request
+//! that arrives often ([`frequency`]) is not quarantined, and only a few are at a time. Upstreams that do
+//! not answer a starved instance prove nothing ([`starvation`]).
 
+pub mod frequency;
+pub mod starvation;
 pub mod suspicion;
 pub mod tracker;
 
--- a/crates/tier/src/crash/suspicion.rs
+++ b/crates/tier/src/crash/suspicion.rs
@@ -39,6 +39,8 @@
     Refused,
     /// Nothing answered in time.
     Unanswered,
+    /// This instance could not send the probe, for example for want of file descriptors.
+    Unsent,
 }
 
 /// Suspected requests of all upstreams.
@@ -134,6 +136,7 @@
                 false
             }
             ProbeResult::Refused => true,
+            ProbeResult::Unsent => false,
             ProbeResult::Unanswered => {
                 suspect.unanswered += 1;
                 let is_silent = suspect.unanswered >= MAX_UNANSWERED_PROBES;
@@ -143,6 +146,13 @@
         }
     }
 
+    /// Ends a probe whose result proves nothing.
+    pub fn probe_inconclusive(&mut self, key: UpstreamKey) {
+        if let Some(suspect) = self.0.get_mut(&key) {
+            suspect.probed_since = None;
+        }
+    }
+
     /// Removes and returns the suspected requests of an upstream that has crashed.
     pub fn confirm(&mut self, key: UpstreamKey) -> Vec<Crash> {
         let suspect = self.0.remove(&key);
--- a/crates/tier/src/crash/tracker.rs
+++ b/crates/tier/src/crash/tracker.rs
@@ -38,6 +38,9 @@
 /// Maximum number of doublings of [`QUARANTINE_PERIOD`].
 const MAX_DOUBLINGS: u32 = 5;
 
+/// Maximum number of requests in quarantine at a time, which bounds the harm of wrong verdicts.
+const MAX_QUARANTINES: usize = 32;
+
 /// Time after a reply within which a request without one is not suspected.
 const REPLY_PERIOD: Duration = Duration::from_secs(5);
 
@@ -55,8 +58,6 @@
     order: VecDeque<u64>,
     /// Recent replies: hashes of digest and service, each in the slot that it selects.
     replies: Box<[(u64, Time)]>,
-    /// Quarantined request that was dropped for another one.
-    dropped: Option<u64>,
 }
 
 #[derive(Debug, Default)]
@@ -76,6 +77,19 @@
     Suspected,
     /// The request is in quarantine from now on.
     Quarantined,
+    /// The request would be in quarantine, but it is too common or too many others are.
+    Withheld,
+}
+
+/// The effect of a quarantine that another instance has decided on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LearnedOutcome {
+    /// The request was already in quarantine.
+    Known,
+    /// The request is in quarantine from now on.
+    Quarantined,
+    /// It is not, as it is too common or too many others are.
+    Withheld,
 }
 
 /// The effect of a reply on the request.
@@ -95,17 +109,17 @@
             records: HashMap::new(),
             order: VecDeque::new(),
             replies: vec![(0, Time::ZERO); REPLY_SLOTS].into(),
-            dropped: None,
         }
     }
 }
 
 impl CrashTracker {
-    /// Records a crash.
-    pub fn record_crash(&mut self, now: Time, crash: Crash) -> CrashOutcome {
+    /// Records a crash; a request that `is_common` is not quarantined.
+    pub fn record_crash(&mut self, now: Time, crash: Crash, is_common: bool) -> CrashOutcome {
         if self.was_answered(crash.at, crash.digest, &crash.service) {
             return CrashOutcome::Unchanged;
         }
+        let may_quarantine = !is_common && self.has_room(now);
         let record = self.record(now, crash.digest);
         if record.crashes.iter().any(|known| crash.is_same(known)) {
             return CrashOutcome::Unchanged;
@@ -121,6 +135,9 @@
         if record.is_quarantined(now) || !record.is_conclusive() {
             return CrashOutcome::Suspected;
         }
+        if !may_quarantine {
+            return CrashOutcome::Withheld;
+        }
         let period = QUARANTINE_PERIOD * 2_u32.pow(record.quarantines.min(MAX_DOUBLINGS));
         record.quarantined_until = Some(now + period);
         record.quarantines += 1;
@@ -158,13 +175,30 @@
         known == key && at.since(replied) < REPLY_PERIOD
     }
 
-    /// Quarantines a request on behalf of another instance; returns whether it was not before.
-    pub fn quarantine(&mut self, now: Time, digest: u64, period: Duration) -> bool {
+    /// Quarantines a request on behalf of another instance, unless it `is_common` here.
+    pub fn quarantine(
+        &mut self,
+        now: Time,
+        digest: u64,
+        period: Duration,
+        is_common: bool,
+    ) -> LearnedOutcome {
+        let is_known = self.quarantine_left(now, digest).is_some();
+        if !is_known && (is_common || !self.has_room(now)) {
+            return LearnedOutcome::Withheld;
+        }
         let record = self.record(now, digest);
-        let was_quarantined = record.is_quarantined(now);
         let until = record.quarantined_until.unwrap_or(Time::ZERO);
         record.quarantined_until = Some(until.max(now + period));
-        !was_quarantined
+        match is_known {
+            true => LearnedOutcome::Known,
+            false => LearnedOutcome::Quarantined,
+        }
+    }
+
+    /// Returns whether one more request may be quarantined.
+    fn has_room(&self, now: Time) -> bool {
+        self.quarantined(now).count() < MAX_QUARANTINES
     }
 
     /// Ends the quarantine of a request; returns whether it was in quarantine.
@@ -206,13 +240,8 @@
         self.records.get(&digest).map_or(0, |it| it.crashes.len())
     }
 
-    /// Returns and clears the quarantined request that was last dropped for want of room.
-    pub fn take_dropped(&mut self) -> Option<u64> {
-        self.dropped.take()
-    }
-
     /// Returns the record of a request. If there are too many, a new one takes the place of the
-    /// oldest that is not in quarantine, or of the oldest.
+    /// oldest that is not in quarantine.
     fn record(&mut self, now: Time, digest: u64) -> &mut Record {
         if !self.records.contains_key(&digest) {
             if self.order.len() >= MAX_TRACKED_REQUESTS {
@@ -220,7 +249,6 @@
                 let free = self.order.iter().position(is_free);
                 if let Some(oldest) = self.order.remove(free.unwrap_or(0)) {
                     self.records.remove(&oldest);
-                    self.dropped = free.is_none().then_some(oldest);
                 }
             }
             self.order.push_back(digest);
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -299,8 +299,10 @@
     Quarantined(u64),
     /// Another instance has quarantined the request with this digest.
     QuarantineLearned(u64),
-    /// The request with this digest is no longer quarantined, as too many others are.
-    QuarantineFull(u64),
+    /// The request with this digest is not quarantined, as it is common or too many others are.
+    QuarantineWithheld(u64),
+    /// An upstream did not answer a probe while this instance was starved, which proves nothing.
+    ProbeInconclusive,
     /// The request with this digest is no longer quarantined, as an upstream has replied to it.
     QuarantineEnded(u64),
     /// Another instance is ejected and gets no searches for a while.
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -23,7 +23,9 @@
     budget::{Bound, ExtraAttempts},
     call::Call,
     config::Config,
-    crash::{suspicion::Suspicions, tracker::CrashTracker},
+    crash::{
+        frequency::Frequency, starvation::Starvation, suspicion::Suspicions, tracker::CrashTracker,
+    },
     directory::Directory,
     effect::Effect,
     event::{AttemptKey, Event, Protocol},
@@ -76,6 +78,8 @@
     attempts: SlotMap<AttemptKey, Attempt>,
     crashes: CrashTracker,
     suspicions: Suspicions,
+    starvation: Starvation,
+    frequency: Frequency,
     reachability: Reachability,
     /// Whether a timer for the next probe is set.
     is_probe_scheduled: bool,
@@ -102,6 +106,8 @@
             attempts: SlotMap::with_key(),
             crashes: CrashTracker::default(),
             suspicions: Suspicions::default(),
+            starvation: Starvation::default(),
+            frequency: Frequency::default(),
             reachability: Reachability::default(),
             is_probe_scheduled: false,
             timers: Timers::default(),
@@ -212,7 +218,8 @@
     }
 
     fn fire_timers(&mut self, now: Time, effects: &mut Vec<Effect<C>>) {
-        while let Some(due) = self.timers.pop(now) {
+        while let Some((at, due)) = self.timers.pop(now) {
+            self.starvation.record_timer(now, at);
             match due {
                 Due::Hedge(attempt) => self.on_hedge_due(now, attempt, effects),
                 Due::SoftDeadline(id) => self.on_soft_deadline(now, id, effects),
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -141,11 +141,9 @@
 
     /// Hands a call over to another instance or runs it locally.
     fn start(&mut self, now: Time, id: CallId, mut call: Call<C>, effects: &mut Vec<Effect<C>>) {
-        if self
-            .crashes
-            .quarantine_left(now, call.head.digest)
-            .is_some()
-        {
+        let digest = call.head.digest;
+        self.frequency.record(now, digest);
+        if self.crashes.quarantine_left(now, digest).is_some() {
             self.refuse(now, id, &mut call, Refusal::Quarantined, effects);
             return;
         }
--- a/crates/tier/src/tier/crashes.rs
+++ b/crates/tier/src/tier/crashes.rs
@@ -12,7 +12,7 @@
             BROKEN_CHECK_DELAY, Check, PROBE_RETRY_DELAY, ProbeResult, SILENT_CHECK_DELAY,
             SUSPICION_PERIOD,
         },
-        tracker::{CrashOutcome, ReplyOutcome},
+        tracker::{CrashOutcome, LearnedOutcome, ReplyOutcome},
     },
     effect::{Effect, Note},
     event::Protocol,
@@ -89,7 +89,14 @@
         result: ProbeResult,
         effects: &mut Vec<Effect<C>>,
     ) {
-        if self.suspicions.probed(key, result) {
+        let is_starved = self.starvation.is_starved(now);
+        if result == ProbeResult::Unsent || result == ProbeResult::Unanswered && is_starved {
+            // The instance itself may be why there is no answer.
+            self.suspicions.probe_inconclusive(key);
+            effects.push(Effect::Note(Note::ProbeInconclusive));
+            let again = now + PROBE_RETRY_DELAY;
+            self.timers.set(again, Due::CheckSuspect(key));
+        } else if self.suspicions.probed(key, result) {
             self.on_upstream_crashed(now, key, effects);
         } else if result == ProbeResult::Unanswered {
             let again = now + PROBE_RETRY_DELAY;
@@ -143,8 +150,8 @@
         effects: &mut Vec<Effect<C>>,
     ) -> CrashOutcome {
         let (digest, upstream) = (crash.digest, crash.upstream.clone());
-        let outcome = self.crashes.record_crash(now, crash);
-        self.note_dropped_quarantine(effects);
+        let is_common = self.frequency.is_common(now, digest);
+        let outcome = self.crashes.record_crash(now, crash, is_common);
         if outcome == CrashOutcome::Unchanged {
             return outcome;
         }
@@ -154,6 +161,9 @@
             digest,
             crashes,
         }));
+        if outcome == CrashOutcome::Withheld {
+            effects.push(Effect::Note(Note::QuarantineWithheld(digest)));
+        }
         if outcome == CrashOutcome::Quarantined {
             effects.push(Effect::Quarantine(digest));
             effects.push(Effect::Note(Note::Quarantined(digest)));
@@ -271,30 +281,35 @@
         left: Duration,
         effects: &mut Vec<Effect<C>>,
     ) {
-        let is_changed = match left.is_zero() {
-            true => self.crashes.release(now, digest),
-            false => self.crashes.quarantine(now, digest, left),
-        };
-        if is_changed {
-            effects.push(Effect::Note(match left.is_zero() {
-                true => Note::QuarantineEnded(digest),
-                false => Note::QuarantineLearned(digest),
-            }));
+        if !left.is_zero() {
+            self.learn_quarantine(now, digest, left, effects);
+        } else if self.crashes.release(now, digest) {
+            effects.push(Effect::Note(Note::QuarantineEnded(digest)));
         }
-        self.note_dropped_quarantine(effects);
     }
 
     /// Applies a quarantine that another instance has published.
     pub(super) fn on_quarantine(&mut self, now: Time, digest: u64, effects: &mut Vec<Effect<C>>) {
-        if self.crashes.quarantine(now, digest, PUBLISHED_PERIOD) {
-            effects.push(Effect::Note(Note::QuarantineLearned(digest)));
-        }
-        self.note_dropped_quarantine(effects);
+        self.learn_quarantine(now, digest, PUBLISHED_PERIOD, effects);
     }
 
-    fn note_dropped_quarantine(&mut self, effects: &mut Vec<Effect<C>>) {
-        let dropped = self.crashes.take_dropped();
-        effects.extend(dropped.map(|digest| Effect::Note(Note::QuarantineFull(digest))));
+    fn learn_quarantine(
+        &mut self,
+        now: Time,
+        digest: u64,
+        period: Duration,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let is_common = self.frequency.is_common(now, digest);
+        match self.crashes.quarantine(now, digest, period, is_common) {
+            LearnedOutcome::Known => {}
+            LearnedOutcome::Quarantined => {
+                effects.push(Effect::Note(Note::QuarantineLearned(digest)));
+            }
+            LearnedOutcome::Withheld => {
+                effects.push(Effect::Note(Note::QuarantineWithheld(digest)));
+            }
+        }
     }
 }
 
--- a/crates/tier/src/tier/updates.rs
+++ b/crates/tier/src/tier/updates.rs
@@ -204,6 +204,9 @@
         if !self.reachability.is_cut_off() && !self.reachability.lacks_shards() {
             return;
         }
+        if result == ProbeResult::Unsent {
+            return;
+        }
         let is_up = result == ProbeResult::Accepted;
         if is_up {
             self.on_upstream_replied(now, effects);
--- a/crates/tier/src/timers.rs
+++ b/crates/tier/src/timers.rs
@@ -63,11 +63,11 @@
         self.next()
     }
 
-    /// Removes and returns the next timer that is due.
-    pub(crate) fn pop(&mut self, now: Time) -> Option<Due> {
+    /// Removes and returns the next timer that is due, with the time since which it is.
+    pub(crate) fn pop(&mut self, now: Time) -> Option<(Time, Due)> {
         if self.next()? > now {
             return None;
         }
-        self.0.pop().map(|Reverse((_, due))| due)
+        self.0.pop().map(|Reverse(timer)| timer)
     }
 }
--- a/crates/tier/tests/crashing/scenarios.rs
+++ b/crates/tier/tests/crashing/scenarios.rs
@@ -255,3 +255,38 @@
         ..Scenario::default()
     });
 }
+
+/// Guards against a quarantine by an overload of the machine: hardly any request is answered, so no
+/// reply clears the harmless ones that wait for upstreams that end, or whose probes time out (soak
+/// with crashes, 40 runs at a time).
+#[test]
+fn a_starved_machine_quarantines_no_request() {
+    for (upstreams, harmless_contents, ends_every) in [
+        (4, 1, Some(900)),
+        (24, 3, Some(900)),
+        (2, 1, None),
+        (24, UNIQUE, None),
+    ] {
+        check(&Scenario {
+            crashing: 0,
+            min_crashes: 0,
+            instances: 3,
+            upstreams,
+            harmless_rate: 60.0,
+            harmless_contents,
+            ends_every: ends_every.map(Duration::from_millis),
+            starved_every: Some(Duration::from_millis(2_600)),
+            ..Scenario::default()
+        });
+    }
+}
+
+/// The bound on harm must not protect a request that does crash upstreams.
+#[test]
+fn a_crashing_request_is_sent_on_three_times_at_most_beside_starvation() {
+    check(&Scenario {
+        harmless_rate: 60.0,
+        starved_every: Some(Duration::from_secs(9)),
+        ..Scenario::default()
+    });
+}
