tier, edge: keep to what upstreams announce in their replies

Cause: nothing read `Server-Leaving`, nor `Retry-After` on a 503. An upstream that said that it leaves got requests for as long as its entry, or a copy of it, said that it is ready; one that asked for a pause got them again after 60 ms.

Change: the announcement of an incarnation is kept by its name and start, in one place, and outlives its entry. While it holds, neither first nor second attempts, hedges or requests that wait for a connection go there; only a new start clears a departure. A pause is bounded at five minutes, the longer of two holds, and its end is spread over up to a second, so that instances do not return together. If no upstream of a service is left, callers are refused at once; the retry-after time follows from the earliest end of the pauses, within a third of the caller's time. An instance that runs shards or a search for another one reports the departures with its answer, as the other one passes that answer on.

Not told to other instances otherwise: each hears it with its own first reply, and the entry tells all within a second. The rig's upstreams play both, the soak draws them and checks both rules by instance and incarnation.

--- a/crates/briarcove/src/edge/metrics.rs
+++ b/crates/briarcove/src/edge/metrics.rs
@@ -109,6 +109,8 @@
             Note::UpstreamsListed { .. } => "listed",
             Note::UpstreamSeen(..) => "seen",
             Note::UpstreamDraining(..) => "draining",
+            Note::UpstreamLeaving(..) => "announced_leaving",
+            Note::UpstreamPaused(..) => "announced_pause",
             Note::UpstreamGone(..) => "gone",
             Note::RemovalHeld(..) => "removal_held",
             Note::UpstreamEjected(..) => "passed_over",
--- a/crates/briarcove/src/edge/note_log.rs
+++ b/crates/briarcove/src/edge/note_log.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::Cell, time::Duration};
 
-use base::Time;
+use base::{Time, UpstreamName};
 use slog::{Logger, info, warn};
 use tier::{Note, effect::CallSummary};
 
@@ -35,6 +35,16 @@
         }
     }
 
+    /// Reports a `Retry-After` header of an upstream that is ignored.
+    pub(super) fn write_invalid_pause(&self, now: Time, upstream: &UpstreamName, value: &str) {
+        if self.is_within_rate(now) {
+            warn!(self.log, "ignoring the invalid retry-after time of an upstream";
+                "upstream" => %upstream, "value" => value);
+        } else {
+            self.dropped.set(self.dropped.get() + 1);
+        }
+    }
+
     /// Writes a note to the log.
     pub(super) fn write(&self, now: Time, note: &Note) {
         match note {
@@ -53,6 +63,17 @@
             Note::UpstreamDraining(name, service) => {
                 info!(self.log, "upstream draining"; "upstream" => %name, "service" => %service);
             }
+            Note::UpstreamLeaving(name) => {
+                info!(self.log, "upstream has announced that it leaves"; "upstream" => %name);
+            }
+            Note::UpstreamPaused(name, pause) => {
+                if self.is_within_rate(now) {
+                    info!(self.log, "upstream has asked for a pause"; "upstream" => %name,
+                        "for_ms" => pause.as_millis() as u64);
+                } else {
+                    self.dropped.set(self.dropped.get() + 1);
+                }
+            }
             Note::UpstreamGone(name, service) => {
                 info!(self.log, "upstream gone"; "upstream" => %name, "service" => %service);
             }
--- a/crates/briarcove/src/edge/peers/incoming.rs
+++ b/crates/briarcove/src/edge/peers/incoming.rs
@@ -15,7 +15,7 @@
 use slog::{debug, warn};
 use socket2::Socket;
 use tier::{Answer, Event, Origin, crash::Crash, event::BranchHead};
-use wire::handover::{CrashReport, Done, HandOver, LimitedShard, Payload, Quarantined};
+use wire::handover::{CrashReport, Departure, Done, HandOver, LimitedShard, Payload, Quarantined};
 
 use super::{channel::Channel, from_frame, to_frame};
 use crate::edge::shell::{PendingCall, Shell};
@@ -168,11 +168,20 @@
 
 /// Waits for the answer to a search and encodes it.
 async fn finish_search(call: u64, pending: PendingCall) -> Done {
-    let mut limited_shards = Vec::new();
+    let (mut limited_shards, mut departures) = (Vec::new(), Vec::new());
     let answer = match pending.answer().await {
         Some(Answer::Declined) | None => return declined(call),
         Some(answer) => {
             if let Answer::Gathered(gathered) = &answer {
+                departures.extend(
+                    gathered
+                        .departures
+                        .iter()
+                        .map(|(name, started_ms)| Departure {
+                            upstream: name.to_string(),
+                            started_ms: *started_ms,
+                        }),
+                );
                 limited_shards.extend(gathered.limited_shards.iter().map(|shard| LimitedShard {
                     shard: shard.shard,
                     share: shard.share as f32,
@@ -192,6 +201,7 @@
         headers: to_frame(&head.headers),
         body,
         limited_shards,
+        departures,
     }
 }
 
--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -14,8 +14,10 @@
 use platform::{CallerRequest, UpstreamReply};
 use slog::{debug, warn};
 use socket2::Socket;
-use tier::{Event, HandOverOutcome, Instance, LimitedShard, crash::Crash, effect::HandOver};
-use wire::handover::{self, Branch, CrashReport, Done, Follow, Frame, Payload};
+use tier::{
+    Event, HandOverOutcome, Instance, LimitedShard, crash::Crash, effect::HandOver, notice::Notice,
+};
+use wire::handover::{self, Branch, CrashReport, Departure, Done, Follow, Frame, Payload};
 
 use super::{channel::Channel, from_frame, to_frame};
 use crate::edge::shell::Shell;
@@ -241,6 +243,9 @@
                     if let Some(limited_shards) = read_limited_shards(&done) {
                         shell.dispatch(Event::LimitedShards(call, limited_shards));
                     }
+                    for departure in &done.departures {
+                        report_departure(shell, departure);
+                    }
                     let outcome = read_outcome(done);
                     shell.metrics.count_hand_over(&outcome);
                     shell.dispatch(Event::HandOverEnded(call, outcome));
@@ -274,6 +279,21 @@
     (done.status != 0).then(|| limited_shards.collect())
 }
 
+/// Reports to the reducer that an upstream has announced to another instance that it leaves.
+fn report_departure(shell: &Rc<Shell>, departure: &Departure) {
+    let notice = Notice {
+        is_leaving: true,
+        pause: None,
+    };
+    match departure.upstream.parse() {
+        Ok(name) => {
+            let event = Event::UpstreamNotice(name, departure.started_ms, notice);
+            shell.dispatch(event);
+        }
+        Err(e) => warn!(shell.log, "ignoring an invalid upstream that leaves"; "error" => %e),
+    }
+}
+
 fn to_report(shell: &Shell, crash: &Crash) -> CrashReport {
     CrashReport {
         from: shell.cfg.borrow().instance.to_string(),
--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -15,7 +15,7 @@
 use platform::{Http, UpstreamReply};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use slog::Logger;
-use tier::{Answer, AttemptKey, Effect, Event, Settings, Tier};
+use tier::{Answer, AttemptKey, Effect, Event, Settings, Tier, UpstreamKey};
 use wire::handover::{Payload, Quarantined, ReplyReport};
 
 use super::{
@@ -113,6 +113,11 @@
         self.tier.borrow().is_confirmed(call)
     }
 
+    /// Returns whether an upstream still accepts requests.
+    pub(super) fn accepts(&self, upstream: UpstreamKey) -> bool {
+        self.tier.borrow().accepts(self.now(), upstream)
+    }
+
     /// Returns the maximum network delay between two instances.
     pub(super) fn hop_delay(&self) -> Duration {
         self.tier.borrow().settings().hop_delay
--- a/crates/briarcove/src/edge/upstreams.rs
+++ b/crates/briarcove/src/edge/upstreams.rs
@@ -9,10 +9,15 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use compio::time::timeout;
 use futures_channel::oneshot;
+use http::Response;
 use pipe::{ClientConnection, ExchangeError, Keepalive};
-use platform::{CallerRequest, UpstreamReply, reply::keep_alive_seconds};
+use platform::{
+    CallerRequest, UpstreamReply,
+    reply::{self, keep_alive_seconds},
+};
 use tier::{Event, Failure, Outcome, UpstreamKey, crash::suspicion::ProbeResult};
 
 use super::shell::Shell;
@@ -166,11 +171,16 @@
     if left < Duration::from_millis(1) {
         return Outcome::Failed(Failure::NoConnection);
     }
+    if !shell.accepts(send.upstream) {
+        // It has announced in the meantime that it leaves or pauses.
+        return Outcome::Failed(Failure::NoConnection);
+    }
     let request = send.request.to_upstream(send.name.as_str(), left);
     match link.exchange(request, MAX_REPLY_BYTES).await {
         Ok(reply) => {
             let idle =
                 keep_alive_seconds(reply.headers()).map_or(DEFAULT_IDLE_TIME, Duration::from_secs);
+            report_notice(shell, &send, &reply);
             let outcome = UpstreamReply::read(&send.request, reply);
             let is_healthy = !matches!(outcome, Outcome::Failed(Failure::Malformed));
             if is_healthy && !link.is_closed() {
@@ -185,6 +195,27 @@
     }
 }
 
+/// Reports to the reducer what an upstream announces about itself in a reply.
+fn report_notice(
+    shell: &Rc<Shell>,
+    send: &tier::effect::Send<Rc<CallerRequest>>,
+    reply: &Response<Bytes>,
+) {
+    let notice = reply::notice(reply).unwrap_or_else(|(notice, invalid)| {
+        shell
+            .note_log
+            .write_invalid_pause(shell.now(), &send.name, &invalid.0);
+        notice
+    });
+    if let Some(notice) = notice {
+        shell.dispatch(Event::UpstreamNotice(
+            send.name.clone(),
+            send.started_ms,
+            notice,
+        ));
+    }
+}
+
 /// Returns an idle connection that is still usable, or opens a new one.
 async fn connection(
     shell: &Rc<Shell>,
--- a/crates/briarcove/tests/edge.rs
+++ b/crates/briarcove/tests/edge.rs
@@ -322,3 +322,74 @@
     assert_eq!((&late["asked"], &late["answered"]), (&3.into(), &1.into()));
     assert!(late["trail"].as_str().unwrap().contains("waiting"));
 }
+
+/// Returns the number of requests that each upstream of `desk` has received since an earlier count.
+fn desk_arrivals(upstreams: &[Upstream], before: [usize; 2]) -> [usize; 2] {
+    [6, 7].map(|at| upstreams[at].arrivals().len() - before[at - 6])
+}
+
+#[test]
+fn an_upstream_that_announces_its_departure_gets_no_requests_whatever_its_entry_says() {
+    let (site, upstreams) = start_site("leaving");
+    upstreams[6].set_behaviour(Behaviour::Leaves);
+    let status = |n: usize| {
+        site.ask("GET", "/status/1", &format!("l{n}"), 1500)
+            .unwrap()
+    };
+    let mut sent = 0;
+    while upstreams[6].arrivals().is_empty() && sent < 200 {
+        assert_eq!(status(sent).status(), 200);
+        sent += 1;
+    }
+    let before = desk_arrivals(&upstreams, [0, 0]);
+    site.store.remove("servers", "desk-1");
+    thread::sleep(Duration::from_millis(1_000));
+    site.register(&upstreams[6], "ready");
+    thread::sleep(Duration::from_millis(1_000));
+    for n in 0..60 {
+        assert_eq!(status(1_000 + n).status(), 200);
+    }
+    assert_eq!(desk_arrivals(&upstreams, before), [0, 60]);
+    upstreams[7].set_behaviour(Behaviour::Leaves);
+    assert_eq!(status(2_000).status(), 200);
+    let asked = Instant::now();
+    let refused = status(2_001);
+    assert_eq!(refused.status(), 503);
+    assert!(!header(&refused, "retry-after").is_empty());
+    assert!(asked.elapsed() < Duration::from_millis(300));
+}
+
+#[test]
+fn an_upstream_that_asks_for_a_pause_gets_no_requests_in_it() {
+    let (site, upstreams) = start_site("pause");
+    for upstream in &upstreams[6..] {
+        upstream.set_behaviour(Behaviour::Pauses(Duration::from_millis(2_500)));
+    }
+    let asked = Instant::now();
+    let mut refused = 0;
+    while asked.elapsed() < Duration::from_millis(2_300) {
+        let answer = site
+            .ask("GET", "/status/1", &format!("p{refused}"), 15_000)
+            .unwrap();
+        assert_eq!(answer.status(), 503);
+        let after: f64 = header(&answer, "retry-after").parse().unwrap();
+        assert!(after <= 5.0, "{after}");
+        refused += 1;
+        thread::sleep(Duration::from_millis(20));
+    }
+    assert_eq!(
+        desk_arrivals(&upstreams, [0, 0]),
+        [1, 1],
+        "{refused} requests"
+    );
+    for upstream in &upstreams[6..] {
+        upstream.set_behaviour(Behaviour::Replies(Duration::from_millis(2)));
+    }
+    thread::sleep(Duration::from_millis(1_200));
+    assert_eq!(
+        site.ask("GET", "/status/1", "again", 1500)
+            .unwrap()
+            .status(),
+        200
+    );
+}
--- a/crates/rig/src/edge/upstream.rs
+++ b/crates/rig/src/edge/upstream.rs
@@ -50,6 +50,17 @@
     Fails,
     /// Replies with the id of another request.
     Crosses,
+    /// Replies, and announces that it leaves.
+    Leaves,
+    /// Replies 503 with `x-not-executed`, without running the request, and asks for a pause.
+    Pauses(Duration),
+}
+
+impl Behaviour {
+    /// Returns whether the upstream runs requests.
+    fn runs(self) -> bool {
+        !matches!(self, Self::Sheds | Self::Pauses(_))
+    }
 }
 
 /// A request that an upstream received.
@@ -67,6 +78,10 @@
     pub ran: bool,
     /// Time of the arrival.
     pub at: Instant,
+    /// How the upstream responded.
+    pub behaviour: Behaviour,
+    /// Name of the upstream and number of its start.
+    pub incarnation: (String, u64),
     /// Number in the signature and the body of the reply.
     number: u64,
 }
@@ -227,7 +242,8 @@
         let number = NEXT_SIGNATURE.fetch_add(1, Ordering::Relaxed);
         let behaviour = {
             let mut state = lock(&self.state);
-            let ran = state.behaviour != Behaviour::Sheds;
+            let ran = state.behaviour.runs();
+            let (behaviour, incarnation) = (state.behaviour, (name, state.started_ms));
             state.arrivals.push(Arrival {
                 id: id.clone(),
                 left_ms,
@@ -235,11 +251,13 @@
                 service: self.service.clone(),
                 ran,
                 at: Instant::now(),
+                behaviour,
+                incarnation,
                 number,
             });
             state.behaviour
         };
-        if behaviour != Behaviour::Sheds && parts.uri.path().contains(CRASH_MARK) {
+        if behaviour.runs() && parts.uri.path().contains(CRASH_MARK) {
             self.has_crashed.store(true, Ordering::Relaxed);
             sleep(CRASH_HOLD).await;
             return Err(Abort);
@@ -249,11 +267,19 @@
                 sleep(time).await;
                 Ok(signed_reply(StatusCode::OK, &id, number))
             }
-            Behaviour::Sheds => {
-                let mut reply = reply::empty(StatusCode::SERVICE_UNAVAILABLE);
-                reply
-                    .headers_mut()
-                    .insert("x-not-executed", HeaderValue::from_static("1"));
+            Behaviour::Sheds => Ok(not_executed()),
+            Behaviour::Leaves => {
+                let mut reply = signed_reply(StatusCode::OK, &id, number);
+                let leaves = HeaderValue::from_static("1");
+                reply.headers_mut().insert("server-leaving", leaves);
+                Ok(reply)
+            }
+            Behaviour::Pauses(time) => {
+                let mut reply = not_executed();
+                let seconds = format!("{:.3}", time.as_secs_f64());
+                if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+                    reply.headers_mut().insert("retry-after", seconds);
+                }
                 Ok(reply)
             }
             Behaviour::Breaks => Err(Abort),
@@ -263,6 +289,13 @@
     }
 }
 
+fn not_executed() -> Reply {
+    let mut reply = reply::empty(StatusCode::SERVICE_UNAVAILABLE);
+    let set = HeaderValue::from_static("1");
+    reply.headers_mut().insert("x-not-executed", set);
+    reply
+}
+
 fn signed_reply(status: StatusCode, id: &str, number: u64) -> Reply {
     let record = u128::from(number).to_be_bytes();
     let mut reply = reply::with_body(status, Bytes::copy_from_slice(&record));
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -8,6 +8,7 @@
 //!
 //! A run signals only processes that it has started, by process id.
 
+mod announced;
 mod callers;
 mod check;
 mod crashing;
@@ -165,6 +166,7 @@
         min_parts: (SHARDS.len() as f64 * MIN_COVERAGE).ceil() as usize,
     };
     violations.extend(check::check(&recording));
+    violations.extend(announced::check(&recording));
     violations.extend(crashing::check(&recording, &deployment.logs()?));
     let is_served = |outcome: &&callers::Outcome| {
         let answer = outcome.answer.as_ref();
--- a/crates/rig/src/soak/deployment.rs
+++ b/crates/rig/src/soak/deployment.rs
@@ -290,6 +290,12 @@
             Fault::Freeze(at) => self.resume(at % instances),
             Fault::Kill(at) | Fault::Stop(at) => self.restart(at % instances)?,
             Fault::KillAll => (0..instances).try_for_each(|at| self.restart(at))?,
+            Fault::Behave(at, Behaviour::Leaves) => {
+                // Only a new start takes the announcement back.
+                self.upstreams[at % upstreams].restart(None);
+                self.upstreams[at % upstreams].set_behaviour(NORMAL_BEHAVIOUR);
+                self.register(at % upstreams, "ready");
+            }
             Fault::Behave(at, _) => self.upstreams[at % upstreams].set_behaviour(NORMAL_BEHAVIOUR),
             Fault::Store(_) => self.sites[0].store.set_availability(Availability::Sound),
             Fault::Drain(at) | Fault::Lapse(at) => self.register(at % upstreams, "ready"),
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -115,11 +115,13 @@
 }
 
 fn behaviour(rng: &mut SmallRng) -> Behaviour {
-    match rng.random_range(0..5) {
+    match rng.random_range(0..7) {
         0 => Behaviour::Replies(Duration::from_millis(rng.random_range(50..1_500))),
         1 => Behaviour::Sheds,
         2 => Behaviour::Breaks,
         3 => Behaviour::Fails,
+        4 => Behaviour::Leaves,
+        5 => Behaviour::Pauses(Duration::from_millis(rng.random_range(600..4_000))),
         _ => Behaviour::Crosses,
     }
 }
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -9,7 +9,10 @@
 use rand::Rng;
 use slotmap::SlotMap;
 
-use crate::upstream::{Entry, Upstream, UpstreamKey};
+use crate::{
+    notice::Announcements,
+    upstream::{Entry, Upstream, UpstreamKey},
+};
 
 /// Maximum number of removed incarnations whose latest publication is remembered, so that an older
 /// one is not taken for a restart.
@@ -26,6 +29,15 @@
     Draining(UpstreamKey),
 }
 
+/// What an announcement has changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Announcement {
+    /// The upstream leaves, which was not known.
+    pub leaves: bool,
+    /// The upstream accepts no requests for longer than was known.
+    pub pauses: bool,
+}
+
 /// Upstreams by key, name and service.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -34,6 +46,7 @@
     services: HashMap<ServiceName, Vec<UpstreamKey>>,
     /// Start time and sequence number of the latest publication of removed incarnations.
     removed: HashMap<UpstreamName, (u64, u64)>,
+    announcements: Announcements,
     /// Removals that are not applied before `hold_until`.
     held_removals: HashSet<UpstreamName>,
     hold_until: Time,
@@ -77,7 +90,13 @@
 
     fn insert(&mut self, now: Time, entry: Entry) -> Change {
         let (name, service, draining) = (entry.name.clone(), entry.service.clone(), entry.draining);
-        let key = self.upstreams.insert(Upstream::new(entry, now));
+        let announced = self.announcements.get(&name, entry.started_ms);
+        let mut upstream = Upstream::new(entry, now);
+        if let Some(announced) = announced {
+            upstream.is_leaving = announced.is_leaving;
+            upstream.paused_until = announced.paused_until;
+        }
+        let key = self.upstreams.insert(upstream);
         self.names.insert(name, key);
         self.services.entry(service).or_default().push(key);
         if draining {
@@ -87,6 +106,33 @@
         }
     }
 
+    /// Applies what an incarnation has announced; returns whether it leaves or pauses where it did
+    /// not before.
+    pub fn announce(
+        &mut self,
+        name: &UpstreamName,
+        started_ms: u64,
+        is_leaving: bool,
+        paused_until: Option<Time>,
+    ) -> Announcement {
+        let recorded = self
+            .announcements
+            .record(name, started_ms, is_leaving, paused_until);
+        let Some((before, after)) = recorded else {
+            return Announcement::default();
+        };
+        let key = self.names.get(name).copied();
+        let upstream = key.and_then(|key| self.upstreams.get_mut(key));
+        if let Some(upstream) = upstream.filter(|it| it.entry.started_ms == started_ms) {
+            upstream.is_leaving = after.is_leaving;
+            upstream.paused_until = after.paused_until;
+        }
+        Announcement {
+            leaves: after.is_leaving && !before.is_leaving,
+            pauses: after.paused_until > before.paused_until,
+        }
+    }
+
     /// Removes an upstream whose entry was removed, and returns it; holds the removal while
     /// removals are held.
     pub fn remove(&mut self, now: Time, name: &UpstreamName) -> Option<(UpstreamKey, Upstream)> {
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -61,6 +61,8 @@
     pub upstream: UpstreamKey,
     /// Its name, which it compares with its own.
     pub name: UpstreamName,
+    /// Unix time of its start, in milliseconds.
+    pub started_ms: u64,
     /// Its address.
     pub address: SocketAddr,
     /// The caller's request.
@@ -148,6 +150,9 @@
     pub body: Bytes,
     /// Limited shards, reported to the instance that sent a branch.
     pub limited_shards: Vec<LimitedShard>,
+    /// Upstreams of the parts that leave, with the Unix times of their starts in milliseconds;
+    /// reported to the instance that sent the search.
+    pub departures: Vec<(UpstreamName, u64)>,
 }
 
 /// Why a request was refused.
@@ -276,6 +281,10 @@
     },
     /// An upstream drains and accepts no new requests.
     UpstreamDraining(UpstreamName, ServiceName),
+    /// An upstream has announced in a reply that it leaves.
+    UpstreamLeaving(UpstreamName),
+    /// An upstream has announced in a reply that it accepts no requests for a time.
+    UpstreamPaused(UpstreamName, Duration),
     /// An upstream was removed.
     UpstreamGone(UpstreamName, ServiceName),
     /// The removal of an upstream is held.
--- a/crates/tier/src/event.rs
+++ b/crates/tier/src/event.rs
@@ -10,6 +10,7 @@
     crash::{Crash, suspicion::ProbeResult},
     effect::LimitedShard,
     handover::Instance,
+    notice::Notice,
     settings::Settings,
     upstream::{Entry, UpstreamKey},
 };
@@ -54,6 +55,9 @@
     EntriesListed(Vec<Entry>),
     /// An upstream entry was written.
     EntryChanged(Entry),
+    /// An upstream incarnation, given by its name and its start as Unix time in milliseconds, has
+    /// announced something in a reply.
+    UpstreamNotice(UpstreamName, u64, Notice),
     /// An upstream entry was removed, or is no longer valid.
     EntryRemoved(UpstreamName),
     /// The instances that share the limits, this one included.
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`placement`] chooses the upstream of a request.
 //! - [`admit`] refuses requests and skips shards under overload.
 //! - [`hedge`] decides when a part is sent to a second upstream.
+//! - [`notice`] keeps what upstreams announce about themselves in their replies.
 //! - [`completion`] decides when a search is answered or fails.
 //! - [`retry_after`] gives refused callers the time of their next attempt.
 //! - [`budget`] limits extra attempts.
@@ -35,6 +36,7 @@
 pub mod hedge;
 pub mod latency;
 pub mod merge;
+pub mod notice;
 pub mod placement;
 pub mod reachability;
 pub mod retry_after;
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -130,6 +130,9 @@
             Event::Config(config) => self.on_config(config, effects),
             Event::EntriesListed(entries) => self.on_entries_listed(now, entries, effects),
             Event::EntryChanged(entry) => self.on_entry_changed(now, entry, effects),
+            Event::UpstreamNotice(name, started_ms, notice) => {
+                self.on_upstream_notice(now, name, started_ms, notice, effects)
+            }
             Event::EntryRemoved(name) => self.on_entry_removed(now, &name, effects),
             Event::Instances(all) => self.on_instances(now, all, effects),
             Event::HandOverEnded(id, end) => self.on_handover_ended(now, id, end, effects),
@@ -212,6 +215,12 @@
         self.instances.count()
     }
 
+    /// Returns whether an upstream still accepts requests; true for one that is no longer known.
+    pub fn accepts(&self, now: Time, key: UpstreamKey) -> bool {
+        let upstream = self.directory.get(key);
+        upstream.is_none_or(|upstream| upstream.accepts(now))
+    }
+
     /// Returns the number of known upstreams.
     pub fn upstreams(&self) -> usize {
         self.directory.len()
--- a/crates/tier/src/tier/answers.rs
+++ b/crates/tier/src/tier/answers.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use base::{CallId, Time};
+use base::{CallId, Time, UpstreamName};
 
 use super::{Tier, calls::is_gather};
 use crate::{
@@ -12,7 +12,7 @@
     effect::{
         Answer, CallSummary, Effect, FailedAttempt, Fault, Gathered, LimitedShard, Note, Refusal,
     },
-    event::{Head, Protocol, Reply},
+    event::{Head, Origin, Protocol, Reply},
     merge,
 };
 
@@ -55,11 +55,26 @@
             Some(_) => self.limited_shards(now, &call.config, call.route),
             None => Vec::new(),
         };
-        if let Some(answer) = into_answer(call, limited_shards) {
+        let departures = self.departures(&call);
+        if let Some(answer) = into_answer(call, limited_shards, departures) {
             effects.push(Effect::Answer(id, answer));
         }
     }
 
+    /// Returns the upstreams of a call that leave, for the instance that sent the call.
+    fn departures(&self, call: &Call<C>) -> Vec<(UpstreamName, u64)> {
+        if call.head.origin == Origin::Caller {
+            return Vec::new();
+        }
+        let tried = call.parts.iter().flat_map(|part| &part.tried);
+        let leaving = tried
+            .filter_map(|key| self.directory.get(*key))
+            .filter(|upstream| upstream.is_leaving);
+        leaving
+            .map(|upstream| (upstream.entry.name.clone(), upstream.entry.started_ms))
+            .collect()
+    }
+
     /// Fails a call that can no longer succeed; refuses it instead if no upstream can have run it.
     fn give_up(&mut self, now: Time, id: CallId, fault: Fault, effects: &mut Vec<Effect<C>>) {
         let Some(mut call) = self.calls.remove(&id) else {
@@ -225,6 +240,7 @@
 fn into_answer<C: Protocol>(
     call: Call<C>,
     limited_shards: Vec<LimitedShard>,
+    departures: Vec<(UpstreamName, u64)>,
 ) -> Option<Answer<C::Reply>> {
     let (asked, answered) = (call.parts.len(), call.progress().answered);
     let branch_reply = call.branch_reply;
@@ -250,5 +266,6 @@
         missing: asked - answered,
         body: merge::greatest(bodies, target.top),
         limited_shards,
+        departures,
     }))
 }
--- a/crates/tier/src/tier/attempts.rs
+++ b/crates/tier/src/tier/attempts.rs
@@ -64,6 +64,7 @@
             attempt,
             upstream: key,
             name: upstream.entry.name.clone(),
+            started_ms: upstream.entry.started_ms,
             address: upstream.entry.address,
             request: call.request.clone(),
             deadline: call.arrived + call.allowed,
--- a/crates/tier/src/tier/branches.rs
+++ b/crates/tier/src/tier/branches.rs
@@ -47,7 +47,7 @@
         let data_centres = call.parts.iter().map(|part| {
             let upstreams = self.directory.of(&part.service);
             upstreams
-                .filter(|(_, upstream)| !upstream.entry.draining)
+                .filter(|(_, upstream)| !upstream.is_departing())
                 .map(|(_, upstream)| &upstream.entry.data_centre)
         });
         let own = &*self.settings.data_centre;
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -303,15 +303,35 @@
         let quarantine_left = self.crashes.quarantine_left(now, call.head.digest);
         let after = match quarantine_left.filter(|_| why == Refusal::Quarantined) {
             Some(quarantine_left) => quarantine_left,
-            None => self
-                .route_state(&name)
-                .retry_schedule
-                .next_slot(now, ASSUMED_RECOVERY, left),
+            None => {
+                let recovery = match why {
+                    Refusal::NoUpstream | Refusal::TurnedAway => self.recovery(now, call),
+                    _ => ASSUMED_RECOVERY,
+                };
+                self.route_state(&name)
+                    .retry_schedule
+                    .next_slot(now, recovery, left)
+            }
         };
         self.note_call_ended(now, call, why.name(), false, effects);
         effects.push(Effect::Answer(id, Answer::Refused(why, after)));
     }
 
+    /// Returns the time until as many services as a call needs have a usable upstream, as far as it
+    /// is known.
+    fn recovery(&self, now: Time, call: &Call<C>) -> Duration {
+        let usable_in = |part: &Part<C::Reply>| {
+            let upstreams = self.directory.of(&part.service);
+            let earliest = upstreams.filter_map(|(_, up)| up.usable_from()).min();
+            earliest.map_or(ASSUMED_RECOVERY, |at| at.since(now))
+        };
+        let mut waits: Vec<Duration> = call.parts.iter().map(usable_in).collect();
+        waits.sort_unstable();
+        let needed = call.min_parts.clamp(1, waits.len().max(1));
+        let wait = waits.get(needed - 1).copied().unwrap_or(ASSUMED_RECOVERY);
+        wait.max(ASSUMED_RECOVERY)
+    }
+
     /// Refuses a request before it is matched to a route.
     fn refuse_unrouted(
         &mut self,
--- a/crates/tier/src/tier/crashes.rs
+++ b/crates/tier/src/tier/crashes.rs
@@ -38,8 +38,8 @@
         };
         let entry = &upstream.entry;
         // An upstream that drains ends by itself.
-        let is_explained =
-            entry.draining || (self.crashes).was_answered(now, attempt.digest, &entry.service);
+        let is_explained = upstream.is_departing()
+            || (self.crashes).was_answered(now, attempt.digest, &entry.service);
         if is_explained {
             return;
         }
--- a/crates/tier/src/tier/updates.rs
+++ b/crates/tier/src/tier/updates.rs
@@ -1,9 +1,10 @@
 //! Updates from the platform: configurations, upstream entries and the platform's availability;
 //! also reachability checks and probes.
 
-use std::{collections::HashSet, rc::Rc};
+use std::{collections::HashSet, rc::Rc, time::Duration};
 
 use base::{ServiceName, Time, UpstreamName};
+use rand::Rng;
 
 use super::Tier;
 use crate::{
@@ -12,6 +13,7 @@
     directory::Change,
     effect::{Effect, Note},
     event::Protocol,
+    notice::{MAX_PAUSE, Notice},
     reachability::PROBE_INTERVAL,
     timers::Due,
     upstream::{Entry, Upstream, UpstreamKey},
@@ -20,6 +22,12 @@
 /// Failing upstreams that are probed at a time.
 const PROBES_AT_ONCE: usize = 4;
 
+/// Random addition to a pause that an upstream asks for: at most this fraction of it.
+const PAUSE_SPREAD_DIVISOR: u32 = 4;
+
+/// Maximum of that addition.
+const MAX_PAUSE_SPREAD: Duration = Duration::from_secs(1);
+
 impl<C: Protocol> Tier<C> {
     /// Applies a configuration unless it is older than the current one.
     pub(super) fn on_config(&mut self, config: Rc<Config>, effects: &mut Vec<Effect<C>>) {
@@ -100,6 +108,34 @@
         }
     }
 
+    /// Applies what an upstream has announced in a reply.
+    pub(super) fn on_upstream_notice(
+        &mut self,
+        now: Time,
+        name: UpstreamName,
+        started_ms: u64,
+        notice: Notice,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let pause = notice.pause.map(|pause| {
+            let pause = pause.min(MAX_PAUSE);
+            // Instances that were asked for the same pause do not all return at its end.
+            let spread = (pause / PAUSE_SPREAD_DIVISOR).min(MAX_PAUSE_SPREAD);
+            pause + spread.mul_f64(self.rng.random())
+        });
+        let paused_until = pause.map(|pause| now + pause);
+        let changed = self
+            .directory
+            .announce(&name, started_ms, notice.is_leaving, paused_until);
+        if changed.pauses {
+            let pause = pause.unwrap_or_default();
+            effects.push(Effect::Note(Note::UpstreamPaused(name.clone(), pause)));
+        }
+        if changed.leaves {
+            effects.push(Effect::Note(Note::UpstreamLeaving(name)));
+        }
+    }
+
     /// Applies the removal of an entry, or holds it.
     pub(super) fn on_entry_removed(
         &mut self,
--- a/crates/tier/src/upstream.rs
+++ b/crates/tier/src/upstream.rs
@@ -70,6 +70,10 @@
     pub ejected_until: Time,
     /// Time until which it gets no new requests because it rejected one.
     pub full_until: Time,
+    /// Whether it has announced that it leaves.
+    pub is_leaving: bool,
+    /// Time until which it accepts no requests from this instance, as it has announced.
+    pub paused_until: Time,
     /// Time of the last reply; its connection is kept open for a while after that.
     pub replied_at: Option<Time>,
     /// Time at which the latest request that was answered or rejected had been sent.
@@ -92,6 +96,8 @@
             latency_ratio: LatencyRatio::default(),
             ejected_until: Time::ZERO,
             full_until: Time::ZERO,
+            is_leaving: false,
+            paused_until: Time::ZERO,
             replied_at: None,
             answered_since: None,
             down_at: None,
@@ -102,7 +108,26 @@
 
     /// Returns whether it may be sent new requests.
     pub fn is_usable(&self, now: Time) -> bool {
-        !self.entry.draining && self.ejected_until <= now && self.full_until <= now
+        self.accepts(now) && self.ejected_until <= now && self.full_until <= now
+    }
+
+    /// Returns whether it accepts requests, by its entry and its announcements.
+    pub fn accepts(&self, now: Time) -> bool {
+        !self.is_departing() && self.paused_until <= now
+    }
+
+    /// Returns whether it leaves, by its entry or its announcement.
+    pub fn is_departing(&self) -> bool {
+        self.entry.draining || self.is_leaving
+    }
+
+    /// Returns the time from which it may be sent new requests; `None` if it leaves.
+    pub fn usable_from(&self) -> Option<Time> {
+        let from = self
+            .paused_until
+            .max(self.ejected_until)
+            .max(self.full_until);
+        (!self.is_departing()).then_some(from)
     }
 
     /// Returns whether its latency and its failure rates are normal. A healthy upstream in the
--- a/crates/tier/tests/main.rs
+++ b/crates/tier/tests/main.rs
@@ -8,6 +8,7 @@
 mod handover;
 mod instance;
 mod load;
+mod notices;
 mod overload;
 mod simulation;
 mod watchers;
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -261,6 +261,20 @@
     /// Shards that take part in fewer than all searches; empty unless the search had a [`Branch`].
     #[prost(message, repeated, tag = "5")]
     pub limited_shards: Vec<LimitedShard>,
+    /// Upstreams that have announced in their replies to the search that they leave.
+    #[prost(message, repeated, tag = "6")]
+    pub departures: Vec<Departure>,
+}
+
+/// An upstream that leaves.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct Departure {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Its start as Unix time, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
 }
 
 /// One HTTP header.
