tier: try a quarantined request now and then, as a way out of a wrong verdict

Cause: a refused request gets no reply, so a wrong verdict lasted its two minutes whatever happened since.

Change: the first collector of a digest tries it at one upstream if it arrives often there, at the earliest after five seconds and at most twice in a quarantine; of a search only the part whose upstreams crashed. A reply ends the quarantine everywhere. A request that does crash upstreams is rarely that common, and then costs at most two of the three attempts that are allowed.

--- a/crates/briarcove/src/edge/metrics.rs
+++ b/crates/briarcove/src/edge/metrics.rs
@@ -119,6 +119,7 @@
             Note::UpstreamCrashed { .. } => return self.count_suspicions("confirmed", 1),
             Note::Quarantined(..) => "request_quarantined",
             Note::QuarantineLearned(..) => "quarantine_learned",
+            Note::QuarantineTried(..) => "quarantine_tried",
             Note::QuarantineWithheld(..) => "quarantine_withheld",
             Note::ProbeInconclusive => return self.count_suspicions("inconclusive", 1),
             Note::QuarantineEnded(..) => "quarantine_ended",
--- a/crates/briarcove/src/edge/note_log.rs
+++ b/crates/briarcove/src/edge/note_log.rs
@@ -108,6 +108,10 @@
                 info!(self.log, "quarantine learned from another instance";
                     "digest" => format!("{digest:016x}"));
             }
+            Note::QuarantineTried(digest) => {
+                info!(self.log, "trying a quarantined request at one upstream, as it arrives often";
+                    "digest" => format!("{digest:016x}"));
+            }
             Note::QuarantineWithheld(digest) => {
                 if self.is_within_rate(now) {
                     warn!(self.log, "request not quarantined: it is common, or too many others are";
--- a/crates/tier/src/crash.rs
+++ b/crates/tier/src/crash.rs
@@ -8,8 +8,10 @@
 //! once its upstream is found down or restarted. A harmless request gets a reply elsewhere, which
 //! clears it of suspicion; one that crashed several upstreams at different times and got no reply since is
 //! quarantined ([`tracker`]). Whatever the evidence, the harm of a wrong verdict is bounded: a request
-//! that arrives often ([`frequency`]) is not quarantined, and only a few are at a time. Upstreams that do
-//! not answer a starved instance prove nothing ([`starvation`]).
+//! that arrives often ([`frequency`]) is not quarantined, and only a few are at a time. If one arrives
+//! often nevertheless, one instance tries it now and then at one upstream, whose reply ends the
+//! quarantine everywhere. Upstreams that do not answer a starved instance prove nothing
+//! ([`starvation`]).
 
 pub mod frequency;
 pub mod starvation;
--- a/crates/tier/src/crash/tracker.rs
+++ b/crates/tier/src/crash/tracker.rs
@@ -41,6 +41,13 @@
 /// Maximum number of requests in quarantine at a time, which bounds the harm of wrong verdicts.
 const MAX_QUARANTINES: usize = 32;
 
+/// Maximum number of trials in one quarantine: a request that does crash upstreams may reach three
+/// more, over all instances.
+const MAX_TRIALS: u32 = 2;
+
+/// Time in quarantine before the first trial, and between trials.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
+
 /// Time after a reply within which a request without one is not suspected.
 const REPLY_PERIOD: Duration = Duration::from_secs(5);
 
@@ -66,6 +73,10 @@
     quarantined_until: Option<Time>,
     /// Number of quarantines so far.
     quarantines: u32,
+    /// Number of trials in this quarantine.
+    trials: u32,
+    /// Time of the last trial, or of the start of the quarantine.
+    tried_at: Time,
 }
 
 /// The effect of a crash on the request.
@@ -139,7 +150,7 @@
             return CrashOutcome::Withheld;
         }
         let period = QUARANTINE_PERIOD * 2_u32.pow(record.quarantines.min(MAX_DOUBLINGS));
-        record.quarantined_until = Some(now + period);
+        record.enter_quarantine(now, period);
         record.quarantines += 1;
         CrashOutcome::Quarantined
     }
@@ -153,7 +164,7 @@
         };
         let before = record.crashes.len();
         record.crashes.retain(|crash| crash.service != *service);
-        if record.crashes.len() == before {
+        if record.crashes.len() == before && record.trials == 0 {
             return ReplyOutcome::Unchanged;
         }
         if !record.is_conclusive()
@@ -188,8 +199,10 @@
             return LearnedOutcome::Withheld;
         }
         let record = self.record(now, digest);
-        let until = record.quarantined_until.unwrap_or(Time::ZERO);
-        record.quarantined_until = Some(until.max(now + period));
+        match record.quarantined_until.filter(|_| is_known) {
+            Some(until) => record.quarantined_until = Some(until.max(now + period)),
+            None => record.enter_quarantine(now, period),
+        }
         match is_known {
             true => LearnedOutcome::Known,
             false => LearnedOutcome::Quarantined,
@@ -213,6 +226,30 @@
             .is_some_and(|until| until > now)
     }
 
+    /// Allows one more trial of a quarantined request, if one is due, and counts it. A reply to the
+    /// trial ends the quarantine.
+    pub fn start_trial(&mut self, now: Time, digest: u64) -> bool {
+        let Some(record) = self.records.get_mut(&digest) else {
+            return false;
+        };
+        let is_due = now.since(record.tried_at) >= TRIAL_INTERVAL;
+        if !record.is_quarantined(now) || !is_due || record.trials >= MAX_TRIALS {
+            return false;
+        }
+        record.trials += 1;
+        record.tried_at = now;
+        true
+    }
+
+    /// Returns the service most of whose upstreams a request has crashed.
+    pub fn most_crashed(&self, digest: u64) -> Option<&ServiceName> {
+        let crashes = &self.records.get(&digest)?.crashes;
+        let count =
+            |service: &ServiceName| crashes.iter().filter(|it| it.service == *service).count();
+        let services = crashes.iter().map(|crash| &crash.service);
+        services.max_by_key(|service| count(service))
+    }
+
     /// Returns the time for which a request stays in quarantine.
     pub fn quarantine_left(&self, now: Time, digest: u64) -> Option<Duration> {
         let until = self.records.get(&digest)?.quarantined_until?;
@@ -258,6 +295,12 @@
 }
 
 impl Record {
+    fn enter_quarantine(&mut self, now: Time, period: Duration) {
+        self.quarantined_until = Some(now + period);
+        self.trials = 0;
+        self.tried_at = now;
+    }
+
     fn is_quarantined(&self, now: Time) -> bool {
         self.quarantined_until.is_some_and(|until| until > now)
     }
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -308,6 +308,8 @@
     Quarantined(u64),
     /// Another instance has quarantined the request with this digest.
     QuarantineLearned(u64),
+    /// The quarantined request with this digest is tried at one upstream, as it arrives often.
+    QuarantineTried(u64),
     /// The request with this digest is not quarantined, as it is common or too many others are.
     QuarantineWithheld(u64),
     /// An upstream did not answer a probe while this instance was starved, which proves nothing.
--- a/crates/tier/src/handover.rs
+++ b/crates/tier/src/handover.rs
@@ -260,6 +260,13 @@
         ranked.into_iter().map(|(_, instance)| instance).collect()
     }
 
+    /// Returns whether this instance comes first among the collectors of a request.
+    pub fn is_first_collector(&self, now: Time, own: &str, digest: u64) -> bool {
+        let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), digest);
+        let mut usable = self.peers.iter().filter(|peer| peer.ejected_until <= now);
+        usable.all(|peer| rank(own) < rank(peer.instance.name.as_str()))
+    }
+
     /// Returns the other instances, or a random choice of them if there are too many to tell each
     /// of them something at once.
     pub fn recipients(&self, rng: &mut impl Rng) -> Vec<Instance> {
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -144,7 +144,10 @@
         let digest = call.head.digest;
         self.frequency.record(now, digest);
         if self.crashes.quarantine_left(now, digest).is_some() {
-            self.refuse(now, id, &mut call, Refusal::Quarantined, effects);
+            match self.may_try_quarantined(now, digest) {
+                true => self.try_quarantined(now, id, call, effects),
+                false => self.refuse(now, id, &mut call, Refusal::Quarantined, effects),
+            }
             return;
         }
         let Some(mut call) = self.hand_over(now, id, call, effects) else {
@@ -261,7 +264,12 @@
     }
 
     /// Returns the upstream with the lowest expected cost for each part.
-    fn candidates(&mut self, now: Time, name: &Rc<str>, call: &Call<C>) -> Vec<Option<Candidate>> {
+    pub(super) fn candidates(
+        &mut self,
+        now: Time,
+        name: &Rc<str>,
+        call: &Call<C>,
+    ) -> Vec<Option<Candidate>> {
         let objective = call.config.route(call.route).objective;
         let mean_latency = self.route_state(name).latency.mean(objective);
         let find = |part: &Part<C::Reply>| {
--- a/crates/tier/src/tier/crashes.rs
+++ b/crates/tier/src/tier/crashes.rs
@@ -1,11 +1,12 @@
 //! Requests that may have crashed upstreams: suspicion, checks, and quarantine.
 
-use std::time::Duration;
+use std::{rc::Rc, time::Duration};
 
-use base::{InstanceName, ServiceName, Time};
+use base::{CallId, InstanceName, ServiceName, Time};
 
 use super::{Attempt, Tier};
 use crate::{
+    call::{Call, PartState},
     crash::{
         Crash, PUBLISHED_PERIOD,
         suspicion::{
@@ -14,7 +15,7 @@
         },
         tracker::{CrashOutcome, LearnedOutcome, ReplyOutcome},
     },
-    effect::{Effect, Note},
+    effect::{Effect, Note, Refusal},
     event::Protocol,
     handover::Instance,
     timers::Due,
@@ -293,6 +294,47 @@
         self.learn_quarantine(now, digest, PUBLISHED_PERIOD, effects);
     }
 
+    /// Returns whether a quarantined request may be tried: one instance does so now and then if the
+    /// request arrives often.
+    pub(super) fn may_try_quarantined(&mut self, now: Time, digest: u64) -> bool {
+        let own = &self.settings.instance;
+        self.frequency.is_common(now, digest)
+            && self.instances.is_first_collector(now, own, digest)
+            && self.crashes.start_trial(now, digest)
+    }
+
+    /// Sends a quarantined request to one upstream. If the request has several parts, only the one
+    /// whose upstreams have crashed is sent, and the call fails after it.
+    pub(super) fn try_quarantined(
+        &mut self,
+        now: Time,
+        id: CallId,
+        mut call: Call<C>,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let suspected = self.crashes.most_crashed(call.head.digest);
+        let part = call
+            .parts
+            .iter()
+            .position(|it| suspected == Some(&it.service));
+        let at = part.unwrap_or(0);
+        let name: Rc<str> = Rc::from(&*call.config.route(call.route).name);
+        let candidates = self.candidates(now, &name, &call);
+        let Some(candidate) = candidates.get(at).copied().flatten() else {
+            self.refuse(now, id, &mut call, Refusal::Quarantined, effects);
+            return;
+        };
+        for (other, part) in call.parts.iter_mut().enumerate() {
+            if other != at {
+                part.state = PartState::Lost;
+            }
+        }
+        effects.push(Effect::Note(Note::QuarantineTried(call.head.digest)));
+        self.timers.set(call.deadline, Due::Deadline(id));
+        self.calls.insert(id, call);
+        self.send(now, id, at, candidate.key, effects);
+    }
+
     fn learn_quarantine(
         &mut self,
         now: Time,
--- a/crates/tier/tests/decisions.rs
+++ b/crates/tier/tests/decisions.rs
@@ -396,3 +396,22 @@
     assert!(starvation.is_starved(at(2_000)));
     assert!(!starvation.is_starved(at(3_300)));
 }
+
+#[test]
+fn a_reply_to_a_trial_ends_the_quarantine() {
+    let mut crashes = CrashTracker::default();
+    let service: ServiceName = "s".parse().unwrap();
+    // Learned from another instance, so that no crash is on record here.
+    crashes.quarantine(at(0), 7, Duration::from_secs(120), false);
+    assert!(!crashes.start_trial(at(4_000), 7));
+    assert!(crashes.start_trial(at(5_000), 7));
+    assert!(!crashes.start_trial(at(6_000), 7));
+    assert_eq!(
+        crashes.record_reply(at(6_000), 7, &service),
+        ReplyOutcome::Released
+    );
+    // One that crashes upstreams gets no more than two trials.
+    crashes.quarantine(at(7_000), 7, Duration::from_secs(120), false);
+    let trials = (7..120).filter(|s| crashes.start_trial(at(s * 1_000), 7));
+    assert_eq!(trials.count(), 2);
+}
