edge, platform, tier: keep to what was known when the store comes back older

Cause: nothing read `Store-Era`. After the store came back from an older copy, revisions of two histories were compared: a follower took everything for old until the counter had passed its own, a waiting watch skipped a change whose revision had been given out again, and a list of the copy brought back an upstream that had left.

Change: positions are an era and a revision, ordered, and used by lists, watches, the feed to followers and the records; an answer of an older era than one already seen is not applied. When the era rises, both kinds are listed again, followers get everything from the instance that they follow, the configuration and upstreams in use are kept, removals wait for 4 s, and a removed upstream that the copy lists is believed only if it is still listed when the platform would have dropped its entry (three heartbeats and 2.4 s), or has started again. One that was draining is not. Instances write their records again within 1.5 s and a probe, quarantines within 3 s, mostly by one. Records that are lost count for 10 s more, so that no instance takes a larger share of the common limits.

An answer without the header counts as era 0, which is stale once a later one was seen; a follower of an older program sends no era and gets the whole list.

--- a/crates/briarcove/src/edge/metrics.rs
+++ b/crates/briarcove/src/edge/metrics.rs
@@ -31,6 +31,7 @@
     upstream_changes: IntCounterVec,
     crash_suspicions: IntCounterVec,
     config_version: IntGauge,
+    store_era: IntGauge,
     pending_requests: IntGauge,
     attempts_in_flight: IntGauge,
     upstreams: IntGauge,
@@ -90,6 +91,7 @@
                 &["outcome"],
             ),
             config_version: gauge("config_version", "Version of the configuration in force"),
+            store_era: gauge("store_era", "Era of the store, once it has risen"),
             pending_requests: gauge("requests_in_hand", "Requests without an answer yet"),
             attempts_in_flight: gauge("attempts_in_flight", "Attempts without an end yet"),
             upstreams: gauge("upstreams", "Upstreams known"),
@@ -98,6 +100,10 @@
     }
 
     /// Updates the metrics for a note of the reducer.
+    pub(super) fn set_store_era(&self, era: u64) {
+        self.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    }
+
     pub(super) fn count_note(&self, note: &Note) {
         let change = match note {
             Note::CallEnded(ended) => return self.count_call(ended),
@@ -126,6 +132,7 @@
             Note::InstanceEjected(..) => "instance_passed_over",
             Note::CutOff => "cut_off",
             Note::Rejoined => "rejoined",
+            Note::PlatformReset { .. } => "store_reset",
             Note::PlatformLost => "store_lost",
             Note::PlatformBack => "store_back",
         };
--- a/crates/briarcove/src/edge/note_log.rs
+++ b/crates/briarcove/src/edge/note_log.rs
@@ -142,6 +142,10 @@
                 "no upstream replies; readiness checks fail until one does"
             ),
             Note::Rejoined => info!(self.log, "upstreams reply again"),
+            Note::PlatformReset { version, upstreams } => {
+                warn!(self.log, "store has come back from an older copy; keeping what was known";
+                    "config" => version, "upstreams" => upstreams);
+            }
             Note::PlatformLost => warn!(self.log, "store unavailable; keeping all entries"),
             Note::PlatformBack => info!(
                 self.log,
--- a/crates/briarcove/src/edge/peers.rs
+++ b/crates/briarcove/src/edge/peers.rs
@@ -14,7 +14,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue};
 use wire::handover::Header;
 
-pub(super) use feed::{Feed, send_watermarks};
+pub(super) use feed::{Feed, position, send_watermarks};
 pub(super) use incoming::accept;
 pub(super) use outgoing::Peers;
 
--- a/crates/briarcove/src/edge/peers/feed.rs
+++ b/crates/briarcove/src/edge/peers/feed.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use compio::time::sleep;
-use platform::store::Object;
+use platform::{Era, Position, store::Object};
 use wire::handover::{Follow, Payload, Update, UpdatedObject, Watermark};
 
 use super::channel::Channel;
@@ -29,17 +29,17 @@
 /// An instance that follows this one.
 struct Follower {
     channel: Weak<Channel<Payload>>,
-    /// Revisions up to which it was sent each kind.
-    known_revisions: [u64; 2],
+    /// Positions up to which it was sent each kind.
+    known: [Position; 2],
 }
 
 /// Known state of one kind.
 #[derive(Default)]
 struct KindState {
-    /// Revision up to which the objects are complete; `None` before the first list.
-    revision: Option<u64>,
-    /// Revision since which all removed objects are remembered.
-    removals_known_since: u64,
+    /// Position up to which the objects are complete; `None` before the first list.
+    position: Option<Position>,
+    /// Position since which all removed objects are remembered.
+    removals_known_since: Position,
     /// Objects by name, including the remembered removed ones.
     objects: HashMap<Box<str>, UpdatedObject>,
     removed_count: usize,
@@ -87,7 +87,7 @@
         &self,
         kind: WatchedKind,
         objects: &[Object],
-        revision: u64,
+        position: Position,
     ) {
         if self.is_following.get() {
             return;
@@ -95,8 +95,8 @@
         {
             let state = &mut self.kinds.borrow_mut()[kind as usize];
             *state = KindState {
-                revision: Some(revision),
-                removals_known_since: revision,
+                position: Some(position),
+                removals_known_since: position,
                 objects: objects.iter().map(to_updated_object).collect(),
                 removed_count: 0,
             };
@@ -109,20 +109,20 @@
         &self,
         kind: WatchedKind,
         objects: &[Object],
-        revision: u64,
+        position: Position,
     ) {
         if self.is_following.get() {
             return;
         }
         {
             let state = &mut self.kinds.borrow_mut()[kind as usize];
-            state.revision = state.revision.map(|known| known.max(revision));
+            state.position = state.position.map(|known| known.max(position));
             state.removed_count += objects.iter().filter(|object| object.is_deleted).count();
             state.objects.extend(objects.iter().map(to_updated_object));
             if state.removed_count > MAX_REMEMBERED_REMOVALS {
                 state.objects.retain(|_, object| !object.is_gone);
                 state.removed_count = 0;
-                state.removals_known_since = revision;
+                state.removals_known_since = position;
             }
         }
         self.send_updates();
@@ -134,7 +134,10 @@
         self.followers.borrow_mut().retain(|it| !is_same(it));
         self.followers.borrow_mut().push(Follower {
             channel: Rc::downgrade(channel),
-            known_revisions: [follow.config, follow.upstreams],
+            known: [
+                position(follow.config_era, follow.config),
+                position(follow.upstreams_era, follow.upstreams),
+            ],
         });
         self.send_updates();
         channel.push(self.watermark());
@@ -156,15 +159,15 @@
                 continue;
             };
             for (kind, state) in kinds.iter().enumerate() {
-                let Some(revision) = state.revision else {
+                let Some(position) = state.position else {
                     continue;
                 };
-                let known_revision = follower.known_revisions[kind];
-                if revision <= known_revision {
+                let known = follower.known[kind];
+                if position <= known {
                     continue;
                 }
-                channel.push(Payload::Update(state.since(kind, known_revision, revision)));
-                follower.known_revisions[kind] = revision;
+                channel.push(Payload::Update(state.since(kind, known, position)));
+                follower.known[kind] = position;
             }
         }
         self.followers
@@ -179,9 +182,14 @@
             .store_answered_at
             .get()
             .is_some_and(|at| at.elapsed() < MAX_STORE_SILENCE);
-        match (kinds[0].revision, kinds[1].revision) {
+        match (kinds[0].position, kinds[1].position) {
             (Some(config), Some(upstreams)) if is_up_to_date && !self.is_following.get() => {
-                Payload::Watermark(Watermark { config, upstreams })
+                Payload::Watermark(Watermark {
+                    config: config.revision,
+                    upstreams: upstreams.revision,
+                    config_era: config.era.0,
+                    upstreams_era: upstreams.era.0,
+                })
             }
             _ => Payload::StoreLost(true),
         }
@@ -202,22 +210,32 @@
 }
 
 impl KindState {
-    /// Returns the changes since a revision, or all objects if removals since then are forgotten.
-    fn since(&self, kind: usize, known_revision: u64, revision: u64) -> Update {
-        let is_whole = known_revision < self.removals_known_since;
+    /// Returns the changes since a position, or all objects if removals since then are forgotten or
+    /// the position is of an earlier era.
+    fn since(&self, kind: usize, known: Position, position: Position) -> Update {
+        let is_whole = known < self.removals_known_since;
         let objects = self.objects.values().filter(|object| match is_whole {
             true => !object.is_gone,
-            false => object.revision > known_revision,
+            false => object.revision > known.revision,
         });
         Update {
             kind: kind as u32,
-            revision,
+            revision: position.revision,
+            era: position.era.0,
             is_whole,
             objects: objects.cloned().collect(),
         }
     }
 }
 
+/// Returns the position that a message names.
+pub(in crate::edge) fn position(era: u64, revision: u64) -> Position {
+    Position {
+        era: Era(era),
+        revision,
+    }
+}
+
 fn to_updated_object(object: &Object) -> (Box<str>, UpdatedObject) {
     let updated = UpdatedObject {
         name: object.name.to_string(),
--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -30,6 +30,12 @@
 /// at the same time.
 const JITTER_SHARE: f64 = 0.25;
 
+/// Number of missed heartbeats after which the platform removes an upstream's entry.
+const HEARTBEATS_TO_LAPSE: u32 = 3;
+
+/// Time from then until an instance knows of the removal, at most.
+const REMOVAL_DELAY: Duration = Duration::from_millis(2_400);
+
 /// State shared by the tasks of an instance.
 pub(super) struct Shell {
     pub(super) cfg: RefCell<platform::Settings>,
@@ -93,6 +99,16 @@
         wait.mul_f64(1.0 - JITTER_SHARE * self.rng.borrow_mut().random::<f64>())
     }
 
+    /// Returns a random part of a time, to spread what all instances do after the same event.
+    pub(super) fn spread(&self, time: Duration) -> Duration {
+        time.mul_f64(self.rng.borrow_mut().random())
+    }
+
+    /// Returns whether the request with a digest is quarantined.
+    pub(super) fn is_quarantined(&self, digest: u64) -> bool {
+        self.tier.borrow().is_quarantined(self.now(), digest)
+    }
+
     /// Returns up to `count` randomly chosen items.
     pub(super) fn sample<T>(&self, items: impl Iterator<Item = T>, count: usize) -> Vec<T> {
         items.choose_multiple(&mut *self.rng.borrow_mut(), count)
@@ -298,6 +314,7 @@
         extra_share: cfg.extra_share,
         extra_slack: cfg.extra_slack,
         extra_window: cfg.extra_window,
+        reset_doubt: cfg.heartbeat * HEARTBEATS_TO_LAPSE + REMOVAL_DELAY,
         ..Settings::default()
     }
 }
--- a/crates/briarcove/src/edge/sync.rs
+++ b/crates/briarcove/src/edge/sync.rs
@@ -17,7 +17,7 @@
     collections::HashMap,
     pin::pin,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use compio::{
@@ -27,7 +27,7 @@
 use futures_channel::oneshot;
 use futures_util::future::select;
 use platform::{
-    Store, config, entry,
+    Era, LatestEra, Position, Store, config, entry,
     store::{Error, Freshness, Object},
 };
 use slog::{info, warn};
@@ -52,6 +52,13 @@
 /// up to 2 s old, so an earlier one would lack records.
 const RECORDS_READABLE_AFTER: Duration = Duration::from_millis(2_600);
 
+/// Time after a rise of the era over which the instances write their objects again.
+const REWRITE_SPREAD: Duration = Duration::from_millis(1_500);
+
+/// Time after a rise of the era for which records that the store has lost still count: their
+/// instances write them again within it.
+const FORMER_RECORDS_PERIOD: Duration = Duration::from_secs(10);
+
 /// Number of probes between two checks of the instances' records.
 const PROBES_PER_RECORD_CHECK: u32 = 8;
 
@@ -59,8 +66,14 @@
 pub(super) struct Sync {
     shell: Rc<Shell>,
     is_store_lost: Cell<bool>,
-    /// Revision up to which all changes of each kind are known, by [`WatchedKind`].
-    known_revisions: [Cell<u64>; 2],
+    /// Position up to which all changes of each kind are known, by [`WatchedKind`].
+    known: [Cell<Position>; 2],
+    /// Latest era of the store that any call has shown.
+    latest_era: LatestEra,
+    /// Era that this instance has adapted to; `None` before the first answer.
+    era: Cell<Option<Era>>,
+    /// Set when the era has risen, until this instance's own objects are written again.
+    is_rewrite_due: Cell<bool>,
     /// Number of instances in the last list of records.
     instance_count: Cell<usize>,
     /// Instances that this instance may follow, in the order in which they are tried.
@@ -71,13 +84,18 @@
     is_following: Flag,
     /// Set to probe the store without waiting for the interval.
     probe_now: Flag,
-    /// Newest revision of the objects that instances write, which no watch covers.
-    records_revision: Cell<u64>,
+    /// Position of the newest of the objects that instances write, which no watch covers.
+    records_position: Cell<Position>,
+    /// Records of instances as listed before the era rose, and the time until which those that the
+    /// store has lost still count.
+    former_records: RefCell<(Vec<Object>, Option<Instant>)>,
     /// Interrupts each watch, so that its kind is listed again.
     interrupts: [RefCell<Option<oneshot::Sender<()>>>; 2],
     /// Number of failed connection attempts by instance, for instances that may be gone.
     unreachable: RefCell<HashMap<Box<str>, u32>>,
     published: RefCell<quarantines::Published>,
+    /// Quarantines that the store may have lost, and the time at which this instance looks for them.
+    lost_quarantines: RefCell<Option<(Instant, Vec<u64>)>>,
     /// Number of rounds in which this instance has removed records of others.
     removals: Cell<u64>,
 }
@@ -96,16 +114,21 @@
     let sync = Rc::new(Sync {
         shell: Rc::clone(shell),
         is_store_lost: Cell::new(false),
-        known_revisions: Default::default(),
+        known: Default::default(),
+        latest_era: LatestEra::default(),
+        era: Cell::new(None),
+        is_rewrite_due: Cell::new(false),
         instance_count: Cell::new(0),
         candidates: RefCell::default(),
         roles_known: Flag::default(),
         is_following: Flag::default(),
         probe_now: Flag::default(),
-        records_revision: Cell::new(0),
+        records_position: Cell::default(),
+        former_records: RefCell::default(),
         interrupts: Default::default(),
         unreachable: RefCell::default(),
         published: RefCell::default(),
+        lost_quarantines: RefCell::default(),
         removals: Cell::new(0),
     });
     spawn(watch::list_and_watch(Rc::clone(&sync), WatchedKind::Config)).detach();
@@ -120,12 +143,43 @@
 
 impl Sync {
     fn store(&self) -> Store {
-        Store::new(self.shell.cfg.borrow().store, self.shell.buf.clone())
+        let address = self.shell.cfg.borrow().store;
+        Store::new(address, self.shell.buf.clone(), self.latest_era.clone())
+    }
+
+    /// Adapts to the latest era if it has risen: the store has come back from an older copy, so that
+    /// revisions have gone back and what was written last is lost. Everything is listed again, and
+    /// this instance's own objects are written again.
+    fn note_era(&self) {
+        let latest = self.latest_era.get();
+        let Some(former) = self.era.replace(Some(latest)) else {
+            return;
+        };
+        if former == latest {
+            return;
+        }
+        warn!(self.shell.log, "the era of the store has risen; listing everything again";
+            "era" => %latest, "former" => %former,
+            "config_position" => %self.known[0].get(),
+            "upstreams_position" => %self.known[1].get());
+        self.shell.metrics.set_store_era(latest.0);
+        self.shell.dispatch(Event::PlatformReset);
+        self.records_position.set(Position {
+            era: latest,
+            revision: 0,
+        });
+        self.former_records.borrow_mut().1 = Some(Instant::now() + FORMER_RECORDS_PERIOD);
+        self.lose_published();
+        self.is_rewrite_due.set(true);
+        self.probe_now.set(true);
+        if !self.is_following.get() {
+            self.interrupt();
+        }
     }
 
     /// Applies a full list of the objects of a kind.
-    fn apply_list(&self, kind: WatchedKind, objects: Vec<Object>, revision: u64) {
-        self.shell.feed.set_objects(kind, &objects, revision);
+    fn apply_list(&self, kind: WatchedKind, objects: Vec<Object>, position: Position) {
+        self.shell.feed.set_objects(kind, &objects, position);
         match kind {
             WatchedKind::Config => objects
                 .into_iter()
@@ -175,16 +229,12 @@
         }
     }
 
-    /// Returns whether a revision of the store is newer than all changes known from watches and
+    /// Returns whether a position of the store is newer than all changes known from watches and
     /// from the instances' own objects.
-    fn is_unexplained(&self, revision: u64) -> bool {
-        let newest = self
-            .known_revisions
-            .iter()
-            .map(Cell::get)
-            .max()
-            .unwrap_or(0);
-        revision > newest.max(self.records_revision.get())
+    fn is_unexplained(&self, position: Position) -> bool {
+        let known = self.known.iter().map(Cell::get);
+        let newest = known.chain([self.records_position.get()]).max();
+        newest.is_none_or(|newest| position > newest)
     }
 
     /// Records whether the store answers, and reports a change to the reducer.
@@ -244,7 +294,7 @@
         sync.roles_known.set(true);
         is_there
     };
-    let mut unexplained = 0;
+    let mut unexplained: Option<Position> = None;
     let mut probes = 0_u32;
     loop {
         sync.wait_for_next_probe().await;
@@ -254,8 +304,15 @@
                 reason: "no reply in time".into(),
             })
         });
+        sync.note_era();
         let listed = match listed {
             Ok(listed) => listed,
+            Err(e @ Error::StaleEra { .. }) => {
+                // The store answers, but from before its return; the next probe asks again.
+                sync.shell.metrics.count_store_call("probe", "stale");
+                info!(sync.shell.log, "ignoring an answer of the store"; "error" => %e);
+                continue;
+            }
             Err(e) => {
                 sync.shell.metrics.count_store_call("probe", "failed");
                 if !sync.is_store_lost.get() {
@@ -269,20 +326,27 @@
         sync.shell.metrics.count_store_call("probe", "ok");
         sync.set_store_lost(false);
         quarantines::apply(&sync, &mut store, &listed.objects).await;
-        sync.note_records_revision(&listed.objects);
-        if sync.is_unexplained(listed.revision) && unexplained == 0 {
-            // The watch may be about to deliver the change, or another instance has written its
-            // record: read the records, and decide at the next probe.
-            unexplained = listed.revision;
-            records::read(&sync, &mut store).await;
-        } else if unexplained > 0 {
-            if sync.is_unexplained(unexplained) {
-                sync.records_revision.set(listed.revision);
+        sync.note_records_position(&listed);
+        if let Some(position) = unexplained.take() {
+            if sync.is_unexplained(position) {
+                sync.records_position.set(listed.position);
                 sync.interrupt();
             }
-            unexplained = 0;
+        } else if sync.is_unexplained(listed.position) {
+            // The watch may be about to deliver the change, or another instance has written its
+            // record: read the records, and decide at the next probe.
+            unexplained = Some(listed.position);
+            records::read(&sync, &mut store, Freshness::Stale).await;
         }
         quarantines::publish(&sync, &mut store).await;
+        if sync.is_rewrite_due.get() && is_registered {
+            // Not all instances write at the same moment.
+            sleep(sync.shell.spread(REWRITE_SPREAD)).await;
+            if let Some(records) = records::read(&sync, &mut store, Freshness::Latest).await {
+                is_registered = records::has_own(&sync, &records);
+                sync.is_rewrite_due.set(false);
+            }
+        }
         if !is_registered {
             is_registered = records::register(&sync, &mut store).await;
         } else if probes % PROBES_PER_RECORD_CHECK == PROBES_PER_RECORD_CHECK - 1
@@ -293,7 +357,7 @@
         if !sync.roles_known.get()
             && sync.shell.now().since(base::Time::ZERO) >= RECORDS_READABLE_AFTER
         {
-            records::read(&sync, &mut store).await;
+            records::read(&sync, &mut store, Freshness::Stale).await;
             sync.roles_known.set(true);
         }
         probes += 1;
--- a/crates/briarcove/src/edge/sync/following.rs
+++ b/crates/briarcove/src/edge/sync/following.rs
@@ -4,13 +4,14 @@
 
 use compio::time::{sleep, timeout};
 use futures_util::StreamExt;
-use platform::store::Object;
+use platform::{Position, store::Object};
 use serde_json::Value;
 use slog::{info, warn};
 use tier::Instance;
 use wire::handover::{Follow, Payload, Update, UpdatedObject};
 
 use super::{Sync, WatchedKind};
+use crate::edge::peers::position;
 
 /// Time without a message after which the followed instance is given up. It sends a watermark every
 /// 0.6 s, and a changed configuration has to be in force within 3 s.
@@ -68,11 +69,14 @@
 
 /// Follows one instance until it can no longer be followed.
 async fn follow(sync: &Rc<Sync>, instance: &Instance) -> EndReason {
-    let revisions = Follow {
-        config: sync.known_revisions[0].get(),
-        upstreams: sync.known_revisions[1].get(),
+    let (config, upstreams) = (sync.known[0].get(), sync.known[1].get());
+    let known = Follow {
+        config: config.revision,
+        upstreams: upstreams.revision,
+        config_era: config.era.0,
+        upstreams_era: upstreams.era.0,
     };
-    let mut updates = sync.shell.peers.follow(&sync.shell, instance, revisions);
+    let mut updates = sync.shell.peers.follow(&sync.shell, instance, known);
     let mut wait = FIRST_REPLY_TIMEOUT;
     loop {
         let payload = match timeout(wait, updates.next()).await {
@@ -83,8 +87,10 @@
         match payload {
             Payload::Update(update) => sync.apply_update(update),
             Payload::Watermark(watermark) => {
-                sync.advance(WatchedKind::Config, watermark.config);
-                sync.advance(WatchedKind::Upstreams, watermark.upstreams);
+                let config = position(watermark.config_era, watermark.config);
+                let upstreams = position(watermark.upstreams_era, watermark.upstreams);
+                sync.advance(WatchedKind::Config, config);
+                sync.advance(WatchedKind::Upstreams, upstreams);
                 if !sync.is_following.set(true) {
                     sync.shell.feed.set_following(true);
                     info!(sync.shell.log, "following an instance instead of the store";
@@ -101,13 +107,16 @@
 }
 
 impl Sync {
-    /// Raises the revision up to which all changes of a kind are known.
-    fn advance(&self, kind: WatchedKind, revision: u64) {
-        let known_revision = &self.known_revisions[kind as usize];
-        known_revision.set(known_revision.get().max(revision));
+    /// Raises the position up to which all changes of a kind are known. The objects of a new era come
+    /// with an update, so a position of another era shows nothing.
+    fn advance(&self, kind: WatchedKind, position: Position) {
+        let known = &self.known[kind as usize];
+        if position.era == known.get().era {
+            known.set(known.get().max(position));
+        }
     }
 
-    /// Applies an update unless it is older than the known revision.
+    /// Applies an update unless it is older than the known position.
     fn apply_update(&self, update: Update) {
         let kind = match update.kind {
             0 => WatchedKind::Config,
@@ -117,22 +126,27 @@
                 return;
             }
         };
-        let known_revision = self.known_revisions[kind as usize].get();
-        if update.revision <= known_revision {
+        let known = self.known[kind as usize].get();
+        let updated = position(update.era, update.revision);
+        if updated <= known || updated.era != known.era && !update.is_whole {
+            return;
+        }
+        if !self.latest_era.observe(updated.era) {
             return;
         }
+        self.note_era();
         let objects = update
             .objects
             .into_iter()
             .filter_map(|object| self.decode_object(object));
         if update.is_whole {
-            self.apply_list(kind, objects.collect(), update.revision);
+            self.apply_list(kind, objects.collect(), updated);
         } else {
-            for object in objects.filter(|object| object.revision > known_revision) {
+            for object in objects.filter(|object| object.revision > known.revision) {
                 self.apply_change(kind, object);
             }
         }
-        self.advance(kind, update.revision);
+        self.known[kind as usize].set(updated);
     }
 
     fn decode_object(&self, object: UpdatedObject) -> Option<Object> {
--- a/crates/briarcove/src/edge/sync/quarantines.rs
+++ b/crates/briarcove/src/edge/sync/quarantines.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::{HashMap, HashSet},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use platform::{
@@ -10,7 +10,7 @@
     store::{Error, Freshness, Object},
 };
 use serde_json::json;
-use slog::warn;
+use slog::{info, warn};
 use tier::{Event, crash::PUBLISHED_PERIOD};
 
 use super::Sync;
@@ -21,6 +21,10 @@
 /// Maximum number of quarantines that are written, or removed, after one probe.
 const MAX_WRITES: usize = 4;
 
+/// Time after a rise of the era over which instances look for lost quarantines, so that mostly one of
+/// them writes them again.
+const REPUBLISH_SPREAD: Duration = Duration::from_secs(3);
+
 /// Published quarantines by digest, with the times from which this instance removes them. They differ
 /// between instances, so that mostly one does.
 pub(super) type Published = HashMap<u64, Instant>;
@@ -39,6 +43,7 @@
 pub(super) async fn apply(sync: &Sync, store: &mut Store, objects: &[Object]) {
     let digest = |object: &Object| u64::from_str_radix(&object.name, 16).ok();
     let listed: HashSet<u64> = objects.iter().filter_map(digest).collect();
+    requeue_lost(sync, &listed);
     sync.published
         .borrow_mut()
         .retain(|known, _| listed.contains(known));
@@ -71,6 +76,32 @@
     }
 }
 
+impl Sync {
+    /// Remembers the published quarantines, as the store may have lost them; after a delay that
+    /// differs between instances, those that are missing are written again.
+    pub(super) fn lose_published(&self) {
+        let digests = self.published.borrow().keys().copied().collect();
+        let at = Instant::now() + self.shell.spread(REPUBLISH_SPREAD);
+        *self.lost_quarantines.borrow_mut() = Some((at, digests));
+    }
+}
+
+/// Queues the quarantines that the store has lost and that no other instance has written again.
+fn requeue_lost(sync: &Sync, listed: &HashSet<u64>) {
+    let lost = sync
+        .lost_quarantines
+        .borrow_mut()
+        .take_if(|(at, _)| *at <= Instant::now());
+    let Some((_, digests)) = lost else { return };
+    let is_lost = |digest: &u64| !listed.contains(digest) && sync.shell.is_quarantined(*digest);
+    let lost: Vec<u64> = digests.into_iter().filter(is_lost).collect();
+    if !lost.is_empty() {
+        info!(sync.shell.log, "the store has lost quarantines; writing them again";
+            "count" => lost.len());
+        sync.shell.pending_quarantines.borrow_mut().extend(lost);
+    }
+}
+
 /// Records that the store holds a quarantine.
 fn note_published(sync: &Sync, digest: u64) {
     let remove_at = Instant::now() + sync.shell.jitter(PUBLISHED_PERIOD * 2);
--- a/crates/briarcove/src/edge/sync/records.rs
+++ b/crates/briarcove/src/edge/sync/records.rs
@@ -1,11 +1,15 @@
 //! Registration: the records that instances keep of themselves in the store.
 
-use std::{cmp::Reverse, rc::Rc, time::Duration};
+use std::{
+    cmp::Reverse,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 
 use compio::{net::TcpStream, time::timeout};
 use platform::{
-    Store,
-    store::{Error, Freshness, Object},
+    Position, Store,
+    store::{Error, Freshness, Object, Objects},
 };
 use serde_json::{Value, json};
 use slog::{info, warn};
@@ -28,16 +32,22 @@
 
 /// Lists the instances' records and reports the instances to the reducer; `None` when the store
 /// fails.
-pub(super) async fn read(sync: &Sync, store: &mut Store) -> Option<Vec<Object>> {
-    let records = match store.list(INSTANCES_KIND, Freshness::Stale).await {
-        Ok(records) => records.objects,
+pub(super) async fn read(
+    sync: &Sync,
+    store: &mut Store,
+    freshness: Freshness,
+) -> Option<Vec<Object>> {
+    let listed = match store.list(INSTANCES_KIND, freshness).await {
+        Ok(listed) => listed,
         Err(e) => {
             warn!(sync.shell.log, "failed to list the instances' records"; "error" => %e);
             return None;
         }
     };
-    sync.note_records_revision(&records);
-    let instances = parse_all(&records);
+    sync.note_era();
+    sync.note_records_position(&listed);
+    let records = listed.objects;
+    let instances = parse_all(&sync.with_former_records(&records));
     sync.instance_count.set(instances.len());
     let own = sync.shell.cfg.borrow().instance.clone();
     *sync.candidates.borrow_mut() = watchers::candidates(&instances, &own);
@@ -61,7 +71,7 @@
 ///
 /// Returns false when this instance's record has to be created again.
 pub(super) async fn check(sync: &Rc<Sync>, store: &mut Store) -> bool {
-    let Some(records) = read(sync, store).await else {
+    let Some(records) = read(sync, store, Freshness::Stale).await else {
         return true;
     };
     if sync.roles_known.get() && !sync.is_following.get() {
@@ -81,6 +91,19 @@
     true
 }
 
+/// Returns whether this instance's record is listed.
+pub(super) fn has_own(sync: &Sync, records: &[Object]) -> bool {
+    let cfg = sync.shell.cfg.borrow();
+    let has_own = records.iter().any(|record| record.name == cfg.instance);
+    if !has_own {
+        info!(
+            sync.shell.log,
+            "the store has lost this instance's record; writing it again"
+        );
+    }
+    has_own
+}
+
 /// Removes the records of unreachable instances. An instance that is still alive creates its record
 /// again.
 async fn remove_unreachable(sync: &Rc<Sync>, store: &mut Store, records: &[Object]) {
@@ -153,11 +176,31 @@
             "power": cfg.cpu_share, "removals": self.removals.get()})
     }
 
-    /// Records the newest revision of objects that instances have written.
-    pub(super) fn note_records_revision(&self, records: &[Object]) {
-        let newest = records.iter().map(|record| record.revision).max();
-        self.records_revision
-            .set(self.records_revision.get().max(newest.unwrap_or(0)));
+    /// Records the position of the newest of listed objects that instances have written.
+    pub(super) fn note_records_position(&self, listed: &Objects) {
+        let newest = listed.objects.iter().map(|record| record.revision).max();
+        let newest = Position {
+            era: listed.position.era,
+            revision: newest.unwrap_or(0),
+        };
+        self.records_position
+            .set(self.records_position.get().max(newest));
+    }
+
+    /// Returns listed records and, for a while after a rise of the era, those from before it that
+    /// the store has lost. Without them, the shares of this instance in the common limits would be
+    /// too large until all have written theirs again.
+    fn with_former_records(&self, listed: &[Object]) -> Vec<Object> {
+        let mut former = self.former_records.borrow_mut();
+        let mut records = listed.to_vec();
+        match former.1 {
+            Some(until) if Instant::now() < until => {
+                let is_lost = |it: &&Object| listed.iter().all(|known| known.name != it.name);
+                records.extend(former.0.iter().filter(is_lost).cloned());
+            }
+            _ => *former = (records.clone(), None),
+        }
+        records
     }
 }
 
--- a/crates/briarcove/src/edge/sync/watch.rs
+++ b/crates/briarcove/src/edge/sync/watch.rs
@@ -80,8 +80,9 @@
         match listed {
             Ok(listed) => {
                 sync.shell.metrics.count_store_call("list", "ok");
-                sync.apply_list(kind, listed.objects, listed.revision);
-                sync.known_revisions[kind as usize].set(listed.revision);
+                sync.note_era();
+                sync.apply_list(kind, listed.objects, listed.position);
+                sync.known[kind as usize].set(listed.position);
                 sync.roles_known.until(true).await;
                 let problem = sync.watch(&mut store, kind).await;
                 info!(sync.shell.log, "watch ended; listing again"; "kind" => kind.store_kind(),
@@ -93,6 +94,7 @@
             }
             Err(e) => {
                 sync.shell.metrics.count_store_call("list", "failed");
+                sync.note_era();
                 warn!(sync.shell.log, "failed to list objects"; "kind" => kind.store_kind(),
                     "error" => %e);
                 sync.wait_until_store_answers().await;
@@ -115,7 +117,10 @@
                 }
                 continue;
             }
-            let after = self.known_revisions[kind as usize].get();
+            let after = self.known[kind as usize].get();
+            if after.era < self.latest_era.get() {
+                return WatchEnd::Interrupted;
+            }
             let changes = {
                 let waiting = pin!(store.watch(kind.store_kind(), after, MAX_WATCH_WAIT));
                 let followed = pin!(self.is_following.until(true));
@@ -128,11 +133,11 @@
             match changes {
                 Ok(changes) => {
                     self.shell.metrics.count_store_call("watch", "ok");
-                    let revision = changes.revision.max(after);
-                    self.known_revisions[kind as usize].set(revision);
+                    let position = changes.position.max(after);
+                    self.known[kind as usize].set(position);
                     self.shell
                         .feed
-                        .apply_changes(kind, &changes.objects, revision);
+                        .apply_changes(kind, &changes.objects, position);
                     let has_changes = !changes.objects.is_empty();
                     for object in changes.objects {
                         self.apply_change(kind, object);
@@ -145,6 +150,7 @@
                 }
                 Err(e) => {
                     self.shell.metrics.count_store_call("watch", "failed");
+                    self.note_era();
                     return WatchEnd::Failed(e);
                 }
             }
--- a/crates/briarcove/tests/main.rs
+++ b/crates/briarcove/tests/main.rs
@@ -7,6 +7,7 @@
 mod bench;
 mod check;
 mod command;
+mod drill;
 mod edge;
 mod peers;
 mod processes;
--- a/crates/rig/src/soak/deployment.rs
+++ b/crates/rig/src/soak/deployment.rs
@@ -51,6 +51,9 @@
 /// signal ends it (seed 68). This is no violation: the platform restarts processes that exit.
 const SIGNAL_SETUP_TIME: Duration = Duration::from_millis(100);
 
+/// Time after a drill until upstreams and the operator have written their objects again.
+const REWRITE_DELAY: Duration = Duration::from_millis(900);
+
 /// Interval at which instances are checked for unexpected exits.
 const POLL_INTERVAL: Duration = Duration::from_millis(40);
 
@@ -267,6 +270,8 @@
             Fault::Behave(at, how) => self.upstreams[at % upstreams].set_behaviour(how),
             Fault::Store(availability) => self.sites[0].store.set_availability(availability),
             Fault::Compact => self.sites[0].store.compact(),
+            Fault::Drill(_) => self.sites[0].store.set_availability(Availability::Down),
+            Fault::Rewrite => {}
             Fault::Configure => self.configure(),
             Fault::Drain(at) => self.register(at % upstreams, "draining"),
             Fault::Lapse(at) => {
@@ -298,6 +303,16 @@
             }
             Fault::Behave(at, _) => self.upstreams[at % upstreams].set_behaviour(NORMAL_BEHAVIOUR),
             Fault::Store(_) => self.sites[0].store.set_availability(Availability::Sound),
+            Fault::Drill(age) => {
+                let store = &self.sites[0].store;
+                store.restore(age);
+                store.set_availability(Availability::Sound);
+                self.pending_reverts.push(Revert {
+                    at: Instant::now() + REWRITE_DELAY,
+                    fault: Fault::Rewrite,
+                });
+            }
+            Fault::Rewrite => self.sites[0].store.rewrite_external(),
             Fault::Drain(at) | Fault::Lapse(at) => self.register(at % upstreams, "ready"),
             Fault::ResetUpstream(_)
             | Fault::ResetStore(_)
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -18,6 +18,16 @@
 /// one is not taken for a restart.
 const MAX_REMOVED: usize = 4_096;
 
+/// A removed incarnation.
+#[derive(Clone, Copy, Debug)]
+struct Removed {
+    started_ms: u64,
+    /// Sequence number of its latest publication.
+    seq: u64,
+    /// Whether it was draining.
+    was_draining: bool,
+}
+
 /// Effect of an entry on the directory.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -44,8 +54,11 @@
     upstreams: SlotMap<UpstreamKey, Upstream>,
     names: HashMap<UpstreamName, UpstreamKey>,
     services: HashMap<ServiceName, Vec<UpstreamKey>>,
-    /// Start time and sequence number of the latest publication of removed incarnations.
-    removed: HashMap<UpstreamName, (u64, u64)>,
+    removed: HashMap<UpstreamName, Removed>,
+    /// Entries of removed incarnations that an older copy of the platform's data still lists; they
+    /// are believed only if they are still listed at `believed_at`.
+    doubtful: HashMap<UpstreamName, Entry>,
+    believed_at: Time,
     announcements: Announcements,
     /// Removals that are not applied before `hold_until`.
     held_removals: HashSet<UpstreamName>,
@@ -57,12 +70,17 @@
     /// Inserts or updates the upstream of an entry.
     pub fn upsert(&mut self, now: Time, entry: Entry) -> Change {
         self.held_removals.remove(&entry.name);
-        if let Some((started_ms, seq)) = self.removed.get(&entry.name)
-            && (entry.started_ms, entry.seq) < (*started_ms, *seq)
-        {
-            return Change::None;
+        if let Some(removed) = self.removed.get(&entry.name) {
+            if now < self.believed_at && entry.started_ms <= removed.started_ms {
+                self.doubt(entry);
+                return Change::None;
+            }
+            if (entry.started_ms, entry.seq) < (removed.started_ms, removed.seq) {
+                return Change::None;
+            }
         }
         self.removed.remove(&entry.name);
+        self.doubtful.remove(&entry.name);
         let Some(key) = self.names.get(&entry.name).copied() else {
             return self.insert(now, entry);
         };
@@ -88,6 +106,42 @@
         }
     }
 
+    /// Keeps the entry of a removed incarnation for later, unless that one was draining.
+    fn doubt(&mut self, entry: Entry) {
+        let was_draining = self
+            .removed
+            .get(&entry.name)
+            .is_some_and(|it| it.was_draining);
+        if was_draining || entry.draining {
+            self.doubtful.remove(&entry.name);
+        } else {
+            self.doubtful.insert(entry.name.clone(), entry);
+        }
+    }
+
+    /// Prepares for lists of an older copy of the platform's data: removals are held until
+    /// `hold`, and upstreams that were removed are not believed to be back for `doubt`, after which
+    /// the platform has removed the entries of those that do not run. Returns both times.
+    pub fn begin_era(&mut self, now: Time, hold: Duration, doubt: Duration) -> [Time; 2] {
+        self.hold_until = self.hold_until.max(now + hold);
+        self.believed_at = now + doubt;
+        self.doubtful.clear();
+        [self.hold_until, self.believed_at]
+    }
+
+    /// Returns the entries that are believed now, and no longer doubts them.
+    pub fn take_believed(&mut self, now: Time) -> Vec<Entry> {
+        if now < self.believed_at || self.doubtful.is_empty() {
+            return Vec::new();
+        }
+        let believed = std::mem::take(&mut self.doubtful);
+        for name in believed.keys() {
+            // The sequence number of a publication that was lost no longer counts.
+            self.removed.remove(name);
+        }
+        believed.into_values().collect()
+    }
+
     fn insert(&mut self, now: Time, entry: Entry) -> Change {
         let (name, service, draining) = (entry.name.clone(), entry.service.clone(), entry.draining);
         let announced = self.announcements.get(&name, entry.started_ms);
@@ -136,6 +190,7 @@
     /// Removes an upstream whose entry was removed, and returns it; holds the removal while
     /// removals are held.
     pub fn remove(&mut self, now: Time, name: &UpstreamName) -> Option<(UpstreamKey, Upstream)> {
+        self.doubtful.remove(name);
         if self.is_platform_lost || now < self.hold_until {
             if self.names.contains_key(name) {
                 self.held_removals.insert(name.clone());
@@ -161,8 +216,12 @@
             self.removed.clear();
         }
         let entry = &upstream.entry;
-        self.removed
-            .insert(entry.name.clone(), (entry.started_ms, entry.seq));
+        let removed = Removed {
+            started_ms: entry.started_ms,
+            seq: entry.seq,
+            was_draining: entry.draining,
+        };
+        self.removed.insert(entry.name.clone(), removed);
         Some((key, upstream))
     }
 
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -322,6 +322,13 @@
     CutOff,
     /// Enough upstreams reply again.
     Rejoined,
+    /// The platform has come back from an older copy of its data.
+    PlatformReset {
+        /// Version of the configuration that stays in force.
+        version: u64,
+        /// Number of upstreams that are kept until they are published again.
+        upstreams: usize,
+    },
     /// The platform is unavailable.
     PlatformLost,
     /// The platform is available again.
--- a/crates/tier/src/event.rs
+++ b/crates/tier/src/event.rs
@@ -81,6 +81,8 @@
     ReplyReported(u64, ServiceName),
     /// An instance has quarantined a request for a time, or ended its quarantine if that is zero.
     QuarantineShared(u64, Duration),
+    /// The platform has come back from an older copy of its data, which the next lists show.
+    PlatformReset,
     /// The platform is unavailable.
     PlatformLost,
     /// The platform is available again.
--- a/crates/tier/src/settings.rs
+++ b/crates/tier/src/settings.rs
@@ -27,6 +27,12 @@
     /// Time for which removals are held after the platform is available again; it promises to
     /// restore entries within about two seconds.
     pub removal_hold: Duration,
+    /// Time for which removals are held after the platform has come back from an older copy, in
+    /// which upstreams and operators write theirs again.
+    pub reset_removal_hold: Duration,
+    /// Time after that in which an entry of a removed upstream is not believed; the platform removes
+    /// entries that are no longer written within this time.
+    pub reset_doubt: Duration,
     /// Time for which an abandoned attempt may continue before its connection is closed.
     pub linger: Duration,
     /// Maximum time until a connection to an upstream is available.
@@ -48,6 +54,8 @@
             caller_delay: Duration::from_millis(14),
             hop_delay: Duration::from_millis(5),
             removal_hold: Duration::from_millis(2_200),
+            reset_removal_hold: Duration::from_millis(4_000),
+            reset_doubt: Duration::from_millis(6_000),
             linger: Duration::from_millis(250),
             connect_timeout: Duration::from_millis(400),
             final_margin: Duration::from_millis(8),
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -150,6 +150,7 @@
             Event::QuarantineShared(digest, left) => {
                 self.on_quarantine_shared(now, digest, left, effects)
             }
+            Event::PlatformReset => self.on_platform_reset(now, effects),
             Event::PlatformLost => self.on_platform_lost(effects),
             Event::PlatformBack => self.on_platform_back(now, effects),
             Event::Probed(key, result) => self.on_probed(now, key, result, effects),
@@ -221,6 +222,11 @@
         upstream.is_none_or(|upstream| upstream.accepts(now))
     }
 
+    /// Returns whether the request with a digest is quarantined.
+    pub fn is_quarantined(&self, now: Time, digest: u64) -> bool {
+        self.crashes.quarantine_left(now, digest).is_some()
+    }
+
     /// Returns the number of known upstreams.
     pub fn upstreams(&self) -> usize {
         self.directory.len()
--- a/crates/tier/src/tier/updates.rs
+++ b/crates/tier/src/tier/updates.rs
@@ -15,6 +15,7 @@
     event::Protocol,
     notice::{MAX_PAUSE, Notice},
     reachability::PROBE_INTERVAL,
+    settings::Settings,
     timers::Due,
     upstream::{Entry, Upstream, UpstreamKey},
 };
@@ -179,8 +180,32 @@
         effects.push(Effect::Note(Note::PlatformBack));
     }
 
-    /// Applies the held removals once they are no longer held.
+    /// Keeps the configuration, the upstreams and the departures that were known before the platform
+    /// came back from an older copy: its lists lack what was written since.
+    pub(super) fn on_platform_reset(&mut self, now: Time, effects: &mut Vec<Effect<C>>) {
+        let Settings {
+            reset_removal_hold,
+            reset_doubt,
+            ..
+        } = self.settings;
+        let times = self
+            .directory
+            .begin_era(now, reset_removal_hold, reset_doubt);
+        for at in times {
+            self.timers.set(at, Due::Removals);
+        }
+        effects.push(Effect::Note(Note::PlatformReset {
+            version: self.config.as_ref().map_or(0, |config| config.version),
+            upstreams: self.directory.len(),
+        }));
+    }
+
+    /// Applies the held removals once they are no longer held, and believes the entries that are
+    /// listed still.
     pub(super) fn on_removals(&mut self, now: Time, effects: &mut Vec<Effect<C>>) {
+        for entry in self.directory.take_believed(now) {
+            self.on_entry_changed(now, entry, effects);
+        }
         for removed in self.directory.release(now) {
             self.forget(removed, effects);
         }
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -132,6 +132,13 @@
     /// Revision up to which the sender has the upstreams.
     #[prost(uint64, tag = "2")]
     pub upstreams: u64,
+    /// Era of the store in which the revision of the configuration was given out; zero from senders
+    /// that know no eras.
+    #[prost(uint64, tag = "3")]
+    pub config_era: u64,
+    /// The same for the upstreams.
+    #[prost(uint64, tag = "4")]
+    pub upstreams_era: u64,
 }
 
 /// Objects of one kind that were written or deleted.
@@ -149,6 +156,9 @@
     /// Changed objects, or all objects of the kind.
     #[prost(message, repeated, tag = "4")]
     pub objects: Vec<UpdatedObject>,
+    /// Era of the store in which the revisions were given out.
+    #[prost(uint64, tag = "5")]
+    pub era: u64,
 }
 
 /// An object that was written or deleted.
@@ -177,6 +187,12 @@
     /// Revision of the upstreams.
     #[prost(uint64, tag = "2")]
     pub upstreams: u64,
+    /// Era of the store in which the revision of the configuration was given out.
+    #[prost(uint64, tag = "3")]
+    pub config_era: u64,
+    /// The same for the upstreams.
+    #[prost(uint64, tag = "4")]
+    pub upstreams_era: u64,
 }
 
 /// A search that the receiver runs for the sender.
