pipe, edge: bound what a peer can send in place of a response

Cause: interim responses (1xx) without end kept an exchange going until its caller gave up, and each of many connections could hold a head of 400 kB or 8 MB of body. A connection between instances read until its socket was empty, whatever had been sent.

Change: an exchange receives at most the limit of its body and 64 kB, whatever the bytes are; past that, and for invalid chunks and trailers, the reply is malformed, which counts no crash against the request, and the connection is closed. Bodies that are being received share a budget of a quarter of the memory limit. A connection reads 128 kB in a turn, one between instances 256 kB, then other tasks run. The time is bounded by the deadline of the call or the time-out of the store call, as before.

Evidence: without the limit, a_flood_ends_at_the_limit_without_a_response does not end for interim responses; it ends with it. floods_share_a_budget needs the budget.

--- a/crates/briarcove/src/edge/callers.rs
+++ b/crates/briarcove/src/edge/callers.rs
@@ -19,7 +19,7 @@
 use cyper_core::CompioTimer;
 use http::{HeaderValue, Request, StatusCode, header};
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use pipe::{Drained, ExchangeError, Io, connection::read_body};
+use pipe::{ExchangeError, Inflow, Io, connection::read_body};
 use platform::{
     CallerRequest,
     answer::{self, CallerAnswer},
@@ -151,7 +151,7 @@
     stream.set_nodelay(true)?;
     let socket: PollFd<Socket> = stream.into_poll_fd()?;
     SockRef::from(&*socket).set_tcp_user_timeout(Some(SEND_TIMEOUT))?;
-    let io = Io::new(socket, shell.buf.clone(), Drained::default());
+    let io = Io::new(socket, shell.buf.clone(), Inflow::default());
     let limits = shell.limits();
     let service = service_fn(|request| respond(shell, request));
     let mut builder = http1::Builder::new();
--- a/crates/briarcove/src/edge/peers/channel.rs
+++ b/crates/briarcove/src/edge/peers/channel.rs
@@ -20,6 +20,20 @@
 /// Size of one read, in bytes.
 const READ_BYTES: usize = 8 << 10;
 
+/// Bytes that are read before their frames are handled.
+const MAX_READ_AHEAD: usize = 256 << 10;
+
+/// Why reading stopped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadEnd {
+    /// The socket is empty.
+    Drained,
+    /// [`MAX_READ_AHEAD`] bytes were read, and there may be more.
+    Limited,
+    /// The other side has closed the connection.
+    Closed,
+}
+
 /// The send queue of a connection.
 pub(super) struct Channel<T> {
     queue: RefCell<VecDeque<T>>,
@@ -79,7 +93,8 @@
         poll_fn(|cx| {
             *self.waker.borrow_mut() = Some(cx.waker().clone());
             loop {
-                let is_closed = connection.read(cx)?;
+                let end = connection.read(cx)?;
+                let is_closed = end == ReadEnd::Closed;
                 let frames = connection.decode()?;
                 let has_frames = !frames.is_empty();
                 if has_frames {
@@ -88,6 +103,11 @@
                 if is_closed {
                     return Poll::Ready(Ok(()));
                 }
+                if end == ReadEnd::Limited {
+                    // Lets other tasks run in between.
+                    cx.waker().wake_by_ref();
+                    break;
+                }
                 if !has_frames {
                     break;
                 }
@@ -124,29 +144,34 @@
 }
 
 impl Connection {
-    /// Reads all available data; returns whether the other side has closed the connection.
-    fn read(&mut self, cx: &mut Context<'_>) -> io::Result<bool> {
+    /// Reads the available data, up to a limit.
+    fn read(&mut self, cx: &mut Context<'_>) -> io::Result<ReadEnd> {
         let mut buf = [0; READ_BYTES];
-        loop {
+        let mut left = MAX_READ_AHEAD;
+        while left > 0 {
             if self.is_drained {
                 match self.socket.poll_read_ready(cx) {
                     Poll::Ready(ready) => ready?,
-                    Poll::Pending => return Ok(false),
+                    Poll::Pending => return Ok(ReadEnd::Drained),
                 }
                 self.is_drained = false;
             }
             match self.socket.poll_read(cx, &mut buf) {
-                Poll::Ready(Ok(0)) => return Ok(true),
+                Poll::Ready(Ok(0)) => return Ok(ReadEnd::Closed),
                 // Reads until the socket is empty even after a short read, as the end of the stream
                 // may follow, after which nobody waits for the requests received with it.
-                Poll::Ready(Ok(read)) => self.input.extend_from_slice(&buf[..read]),
+                Poll::Ready(Ok(read)) => {
+                    self.input.extend_from_slice(&buf[..read]);
+                    left = left.saturating_sub(read);
+                }
                 Poll::Ready(Err(e)) => return Err(e),
                 Poll::Pending => {
                     self.is_drained = true;
-                    return Ok(false);
+                    return Ok(ReadEnd::Drained);
                 }
             }
         }
+        Ok(ReadEnd::Limited)
     }
 
     fn decode(&mut self) -> io::Result<Vec<Payload>> {
--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -11,7 +11,7 @@
 use base::{CallId, Time};
 use compio::runtime::{JoinHandle, spawn};
 use futures_channel::oneshot;
-use pipe::ReadBuf;
+use pipe::{ByteBudget, ReadBuf};
 use platform::{Http, UpstreamReply};
 use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IteratorRandom};
 use slog::Logger;
@@ -30,6 +30,10 @@
 /// at the same time.
 const JITTER_SHARE: f64 = 0.25;
 
+/// Divisor of the memory limit that gives the most bytes of replies that are received at a time, so
+/// that upstreams that send without end do not exhaust it.
+const MEMORY_PER_REPLY_BYTES: usize = 4;
+
 /// Number of missed heartbeats after which the platform removes an upstream's entry.
 const HEARTBEATS_TO_LAPSE: u32 = 3;
 
@@ -66,6 +70,7 @@
 impl Shell {
     pub(super) fn new(cfg: platform::Settings, settings_path: PathBuf, log: Logger) -> Rc<Self> {
         let seed = random_seed(&log);
+        let reply_bytes = cfg.max_memory / MEMORY_PER_REPLY_BYTES;
         Rc::new(Self {
             tier: RefCell::new(Tier::new(tier_settings(&cfg), seed)),
             cfg: RefCell::new(cfg),
@@ -73,7 +78,7 @@
             note_log: NoteLog::new(log.clone()),
             log,
             metrics: Metrics::new(),
-            buf: ReadBuf::default(),
+            buf: ReadBuf::with_budget(ByteBudget::new(reply_bytes)),
             pools: Pools::default(),
             connections: Connections::default(),
             peers: Peers::default(),
--- a/crates/briarcove/tests/main.rs
+++ b/crates/briarcove/tests/main.rs
@@ -9,6 +9,7 @@
 mod command;
 mod drill;
 mod edge;
+mod floods;
 mod peers;
 mod processes;
 mod proxy;
--- a/crates/pipe/src/connection.rs
+++ b/crates/pipe/src/connection.rs
@@ -19,7 +19,7 @@
 };
 use socket2::{SockRef, Socket, TcpKeepalive};
 
-use crate::io::{Drained, Io, ReadBuf};
+use crate::io::{ByteBudget, Inflow, Io, ReadBuf, Reserved};
 
 /// Idle time before the first keep-alive probe, and interval between probes.
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
@@ -30,6 +30,10 @@
 /// Longest time that sent bytes may stay unacknowledged (`TCP_USER_TIMEOUT`).
 const USER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Largest head of a response, and most bytes besides its body, such as those of interim responses
+/// and of the framing.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Why an exchange produced no response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ExchangeError {
@@ -54,7 +58,8 @@
 pub struct ClientConnection {
     sender: SendRequest<Full<Bytes>>,
     driver: Option<Connection<Io<Socket>, Full<Bytes>>>,
-    drained: Drained,
+    inflow: Inflow,
+    budget: ByteBudget,
 }
 
 impl ClientConnection {
@@ -75,13 +80,16 @@
         stream.set_nodelay(true)?;
         let socket: PollFd<Socket> = stream.into_poll_fd()?;
         set_tcp_timeouts(&socket, keepalive)?;
-        let drained = Drained::default();
-        let stream = Io::new(socket, buf, drained.clone());
-        let (sender, driver) = http1::handshake(stream).await.map_err(io::Error::other)?;
+        let (inflow, budget) = (Inflow::default(), buf.budget().clone());
+        let stream = Io::new(socket, buf, inflow.clone());
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_HEAD_BYTES);
+        let (sender, driver) = builder.handshake(stream).await.map_err(io::Error::other)?;
         Ok(Self {
             sender,
             driver: Some(driver),
-            drained,
+            inflow,
+            budget,
         })
     }
 
@@ -89,7 +97,7 @@
     ///
     /// Reads from the socket first, which detects a close or unexpected bytes from the peer.
     pub async fn is_usable(&mut self) -> bool {
-        self.drained.clear();
+        self.inflow.clear_drained();
         poll_fn(|cx| {
             self.poll_driver(cx);
             let ready = matches!(self.sender.poll_ready(cx), Poll::Ready(Ok(())));
@@ -113,6 +121,8 @@
         req: Request<Full<Bytes>>,
         limit: usize,
     ) -> Result<Response<Bytes>, ExchangeError> {
+        self.inflow
+            .start_exchange(limit.saturating_add(MAX_HEAD_BYTES));
         let response = self.sender.try_send_request(req);
         let response = match self.drive(response).await {
             Ok(response) => response,
@@ -120,15 +130,28 @@
                 return Err(match error.take_message() {
                     Some(_) => ExchangeError::Unsent,
                     None if error.error().is_parse() => ExchangeError::Malformed,
-                    None => ExchangeError::Broken,
+                    None => self.failure(),
                 });
             }
         };
         let (head, body) = response.into_parts();
-        let body = self.drive(read_body(body, limit)).await?;
+        let reserved = Reserved::new(self.budget.clone());
+        let body = self.drive(read_body_within(body, limit, reserved)).await;
+        let body = body.map_err(|e| match e {
+            ExchangeError::Broken => self.failure(),
+            other => other,
+        })?;
         Ok(Response::from_parts(head, body))
     }
 
+    /// Returns why the connection failed in the middle of a response.
+    fn failure(&self) -> ExchangeError {
+        match self.inflow.is_exceeded() {
+            true => ExchangeError::Malformed,
+            false => ExchangeError::Broken,
+        }
+    }
+
     async fn drive<F: Future>(&mut self, future: F) -> F::Output {
         let mut future = pin!(future);
         poll_fn(|cx| {
@@ -143,6 +166,7 @@
     }
 
     fn poll_driver(&mut self, cx: &mut Context<'_>) {
+        self.inflow.start_turn();
         if let Some(driver) = &mut self.driver
             && Pin::new(driver).poll(cx).is_ready()
         {
@@ -174,18 +198,36 @@
 /// # Errors
 ///
 /// [`ExchangeError::Broken`] when it ends early, [`ExchangeError::Malformed`] when it is too large.
-pub async fn read_body(mut body: Incoming, limit: usize) -> Result<Bytes, ExchangeError> {
+pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, ExchangeError> {
+    read_body_within(body, limit, Reserved::new(ByteBudget::default())).await
+}
+
+/// Distinguishes a body that breaks off from one that is not valid.
+fn body_error(e: &hyper::Error) -> ExchangeError {
+    let source = std::error::Error::source(e).and_then(|source| source.downcast_ref::<io::Error>());
+    match source.map(io::Error::kind) {
+        Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput) => ExchangeError::Malformed,
+        _ => ExchangeError::Broken,
+    }
+}
+
+/// Reads a body of at most `limit` bytes, which count towards a budget until it is complete.
+async fn read_body_within(
+    mut body: Incoming,
+    limit: usize,
+    mut reserved: Reserved,
+) -> Result<Bytes, ExchangeError> {
     if body.size_hint().lower() > limit as u64 {
         return Err(ExchangeError::Malformed);
     }
     let mut first = Bytes::new();
     let mut all = BytesMut::new();
     while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| ExchangeError::Broken)?;
+        let frame = frame.map_err(|e| body_error(&e))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
-        if first.len() + all.len() + data.len() > limit {
+        if first.len() + all.len() + data.len() > limit || !reserved.grow(data.len()) {
             return Err(ExchangeError::Malformed);
         }
         if first.is_empty() && all.is_empty() {
--- a/crates/pipe/src/lib.rs
+++ b/crates/pipe/src/lib.rs
@@ -4,4 +4,4 @@
 pub mod io;
 
 pub use connection::{ClientConnection, ExchangeError, Keepalive};
-pub use io::{Drained, Io, ReadBuf};
+pub use io::{ByteBudget, Inflow, Io, ReadBuf};
--- a/crates/rig/src/edge/site.rs
+++ b/crates/rig/src/edge/site.rs
@@ -274,6 +274,23 @@
         Ok(Duration::from_millis(ticks * 1_000 / TICKS_PER_SECOND))
     }
 
+    /// Returns the most memory that the instance has held at a time, in bytes.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance is not running.
+    pub fn peak_memory(&self) -> io::Result<u64> {
+        let child = self
+            .child
+            .as_ref()
+            .ok_or_else(|| io::Error::other("not started"))?;
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id()))?;
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = peak.and_then(|text| text.trim().strip_suffix(" kB")?.parse::<u64>().ok());
+        let kilobytes = kilobytes.ok_or_else(|| io::Error::other("no peak in the status"))?;
+        Ok(kilobytes << 10)
+    }
+
     /// Sends a signal to the instance.
     ///
     /// # Errors
--- a/crates/up/src/conn.rs
+++ b/crates/up/src/conn.rs
@@ -17,7 +17,7 @@
     rt::{Read, Write},
 };
 
-use pipe::{Drained, Io};
+use pipe::{Inflow, Io};
 
 use crate::{
     exchange::{self, Disposition},
@@ -51,14 +51,14 @@
         .await
         .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
     socket.set_nodelay(true)?;
-    let drained = Drained::default();
+    let inflow = Inflow::default();
     let read_buf = pool.shared.read_buf.clone();
-    let stream = Io::new(socket.to_poll_fd()?, read_buf, drained.clone());
+    let stream = Io::new(socket.to_poll_fd()?, read_buf, inflow.clone());
     let (sender, driver) = http1::handshake(stream).await.map_err(io::Error::other)?;
     let conn = HttpConnection {
         sender,
         driver: Some(driver),
-        drained,
+        inflow,
     };
     Ok((conn, socket))
 }
@@ -84,7 +84,7 @@
     match poll_fn(|cx| conn.poll_idle(cx, &handle)).await {
         Assignment::Job(job) => {
             // The upstream may have closed the connection while it was idle.
-            conn.drained.clear();
+            conn.inflow.clear_drained();
             Some(job)
         }
         Assignment::Nothing | Assignment::Close => None,
@@ -101,7 +101,7 @@
     /// Sends requests.
     pub(crate) sender: SendRequest<Full<Bytes>>,
     driver: Option<Connection<S, Full<Bytes>>>,
-    drained: Drained,
+    inflow: Inflow,
 }
 
 impl<S: Stream> HttpConnection<S> {
@@ -161,6 +161,7 @@
     }
 
     fn poll_driver(&mut self, cx: &mut Context<'_>) {
+        self.inflow.start_turn();
         if let Some(driver) = &mut self.driver
             && Pin::new(driver).poll(cx).is_ready()
         {
