node: a reply of the same shard clears a request of broken connections

Change: a reply clears the broken upstreams that hold the same shard; a request that crashes the replicas of one shard is not cleared by replies of the others. Reports of peers about breaks from before the reply are ignored.

Evidence: the test failed before and passes; it now passes the time and the replicas to record_answered, and asks for the same. ordinary_requests_are_not_blamed passes.

Left: peers that have quarantined the request already are not told; their quarantine ends after its 60 s.

--- a/crates/node/src/quarantine.rs
+++ b/crates/node/src/quarantine.rs
@@ -3,7 +3,7 @@
 //! A request is identified by the digest of its service and body. The first sub-request with a
 //! digest at an instance is a probe, sent alone; the rest of the fan-out follows when the probe is
 //! answered. A digest whose sub-requests broke connections to two upstreams is quarantined for a
-//! limited time.
+//! limited time. A reply of a replica of the same shard clears them: networks break connections too.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -33,6 +33,9 @@
 struct CrashRecord {
     broken: Vec<UpstreamName>,
     until: Time,
+    /// Upstreams that a reply has cleared, and the time of that reply; a peer may still report them.
+    cleared: Vec<UpstreamName>,
+    cleared_at: Time,
 }
 
 /// Broken upstreams by digest, and digests that are known to be harmless.
@@ -57,6 +60,12 @@
             || self.previous_harmless.contains_key(&fingerprint)
     }
 
+    /// Returns whether a request has broken an upstream and no reply has cleared it.
+    pub fn is_suspected(&self, fingerprint: u64) -> bool {
+        let record = self.records.get(&fingerprint);
+        record.is_some_and(|record| !record.broken.is_empty())
+    }
+
     /// Returns the upstreams that a request broke within the quarantine period.
     pub fn broken_upstreams(&self, now: Time, fingerprint: u64) -> &[UpstreamName] {
         let record = self.records.get(&fingerprint).filter(|r| r.until > now);
@@ -70,8 +79,20 @@
             .is_some_and(|r| r.until > now && r.broken.contains(upstream))
     }
 
-    /// Records that an upstream answered a request.
-    pub fn record_answered(&mut self, fingerprint: u64) {
+    /// Records that an upstream answered a request; `is_replica` tells which upstreams would have
+    /// run the same work.
+    pub fn record_answered(
+        &mut self,
+        now: Time,
+        fingerprint: u64,
+        is_replica: impl Fn(&UpstreamName) -> bool,
+    ) {
+        if let Some(record) = self.records.get_mut(&fingerprint)
+            && record.broken.iter().any(&is_replica)
+        {
+            record.cleared = record.broken.extract_if(.., |it| is_replica(it)).collect();
+            record.cleared_at = now;
+        }
         if self.harmless.contains_key(&fingerprint) {
             return;
         }
@@ -111,12 +132,19 @@
         let record = self.records.entry(fingerprint).or_insert(CrashRecord {
             broken: Vec::new(),
             until: now,
+            cleared: Vec::new(),
+            cleared_at: Time::ZERO,
         });
         if record.until <= now {
             record.broken.clear();
         }
         record.until = record.until.max(now + kept.min(QUARANTINE_PERIOD));
+        let broken_at = (now + kept) - QUARANTINE_PERIOD;
         for upstream in broken {
+            let is_cleared = broken_at < record.cleared_at && record.cleared.contains(upstream);
+            if is_cleared {
+                continue;
+            }
             if !record.broken.contains(upstream) && record.broken.len() < QUARANTINE_THRESHOLD {
                 record.broken.push(upstream.clone());
             }
--- a/crates/node/src/run/send.rs
+++ b/crates/node/src/run/send.rs
@@ -196,7 +196,9 @@
         attempt: &Attempt,
         effects: &mut Vec<Effect>,
     ) {
-        self.quarantine.record_answered(attempt.fingerprint);
+        // Any upstream of the service can run the request.
+        self.quarantine
+            .record_answered(now, attempt.fingerprint, |_| true);
         self.record_run_outcome(now, request, State::done(&outcome));
         let answer = Answer::Done {
             request,
--- a/crates/node/src/search/outcome.rs
+++ b/crates/node/src/search/outcome.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use base::Time;
+use base::{Time, UpstreamName};
 use cat::Class;
 
 use super::{AttemptFailure, Purpose, RETRY_PAUSE};
@@ -35,12 +35,19 @@
         search.last_reply = now;
         let superseded = search.close_part(part, PartState::Answered);
         let fingerprint = search.fingerprint;
+        let replicas = match self.quarantine.is_suspected(fingerprint) {
+            true => search.shard(part).replicas.clone(),
+            false => Vec::new(),
+        };
         let probed = search.probe == Some(part);
         for &other in &superseded {
             self.record_censored_latency(now, key, part, other);
         }
         self.cancel_attempts(now, superseded, effects);
-        self.quarantine.record_answered(fingerprint);
+        let names = self.directory.names();
+        let is_replica = |name: &UpstreamName| replicas.iter().any(|id| names.name(*id) == name);
+        self.quarantine
+            .record_answered(now, fingerprint, is_replica);
         if probed {
             self.start_held_parts(now, key, effects);
         } else {
--- a/crates/node/tests/blame.rs
+++ b/crates/node/tests/blame.rs
@@ -68,7 +68,7 @@
     for (second, upstream) in [(0, "u-1"), (20, "u-2"), (40, "u-3")] {
         let now = Time::ZERO + Duration::from_secs(second);
         quarantine.record_broken(now, digest, &upstream.parse().unwrap());
-        quarantine.record_answered(digest);
+        quarantine.record_answered(now, digest, |_| true);
         assert!(quarantine.remaining(now, digest).is_none(), "{upstream}");
     }
 }
