tier: repeat a trial of a quarantined request that shows nothing

Change: only a trial after which a crash of an upstream is confirmed counts towards the two; one that ends without a reply and without a crash is repeated after 5 s.

Evidence: a_reply_to_a_trial_ends_the_quarantine asks for both; the scenarios of crashing requests keep to 3 late attempts.

--- a/crates/tier/src/crash/tracker.rs
+++ b/crates/tier/src/crash/tracker.rs
@@ -41,9 +41,9 @@
 /// Maximum number of requests in quarantine at a time, which bounds the harm of wrong verdicts.
 const MAX_QUARANTINES: usize = 32;
 
-/// Maximum number of trials in one quarantine: a request that does crash upstreams may reach three
-/// more, over all instances.
-const MAX_TRIALS: u32 = 2;
+/// Maximum number of trials in one quarantine that crash an upstream: a request that does so may
+/// reach three more, over all instances. One without a reply or a crash shows nothing and is repeated.
+const MAX_FAILED_TRIALS: u32 = 2;
 
 /// Time in quarantine before the first trial, and between trials.
 const TRIAL_INTERVAL: Duration = Duration::from_secs(5);
@@ -73,8 +73,10 @@
     quarantined_until: Option<Time>,
     /// Number of quarantines so far.
     quarantines: u32,
-    /// Number of trials in this quarantine.
-    trials: u32,
+    /// Whether there has been a trial in this quarantine.
+    was_tried: bool,
+    /// Number of trials in this quarantine that crashed an upstream.
+    failed_trials: u32,
     /// Time of the last trial, or of the start of the quarantine.
     tried_at: Time,
 }
@@ -142,6 +144,9 @@
             // The first one stays, as it shows the span.
             record.crashes.remove(1);
         }
+        if record.was_tried && crash.at >= record.tried_at {
+            record.failed_trials += 1;
+        }
         record.crashes.push(crash);
         if record.is_quarantined(now) || !record.is_conclusive() {
             return CrashOutcome::Suspected;
@@ -164,7 +169,7 @@
         };
         let before = record.crashes.len();
         record.crashes.retain(|crash| crash.service != *service);
-        if record.crashes.len() == before && record.trials == 0 {
+        if record.crashes.len() == before && !record.was_tried {
             return ReplyOutcome::Unchanged;
         }
         if !record.is_conclusive()
@@ -226,17 +231,17 @@
             .is_some_and(|until| until > now)
     }
 
-    /// Allows one more trial of a quarantined request, if one is due, and counts it. A reply to the
-    /// trial ends the quarantine.
+    /// Allows one more trial of a quarantined request, if one is due. A reply to the trial ends the
+    /// quarantine.
     pub fn start_trial(&mut self, now: Time, digest: u64) -> bool {
         let Some(record) = self.records.get_mut(&digest) else {
             return false;
         };
         let is_due = now.since(record.tried_at) >= TRIAL_INTERVAL;
-        if !record.is_quarantined(now) || !is_due || record.trials >= MAX_TRIALS {
+        if !record.is_quarantined(now) || !is_due || record.failed_trials >= MAX_FAILED_TRIALS {
             return false;
         }
-        record.trials += 1;
+        record.was_tried = true;
         record.tried_at = now;
         true
     }
@@ -297,7 +302,8 @@
 impl Record {
     fn enter_quarantine(&mut self, now: Time, period: Duration) {
         self.quarantined_until = Some(now + period);
-        self.trials = 0;
+        self.was_tried = false;
+        self.failed_trials = 0;
         self.tried_at = now;
     }
 
