edge: read single changes of the store at once, pace storms

Cause: after each reply with changes, a watch paused for the time in which changes accumulate, 2 s in a large fleet (a third of the time allowed).

Change: the calls of a watch are paced to one a window on average, and two may follow at once after a quiet time; in any case 80 ms pass, as related changes are written together. Storms cost as many calls as before.

--- a/crates/briarcove/src/edge/sync/watch.rs
+++ b/crates/briarcove/src/edge/sync/watch.rs
@@ -10,6 +10,7 @@
     store::{Error, Freshness},
 };
 use slog::{info, warn};
+use tier::pacing::Pacer;
 
 use super::{FOLLOWING_THRESHOLD, LOST_PROBE_INTERVAL, Sync, WatchedKind};
 
@@ -38,7 +39,7 @@
         }
     }
 
-    /// Returns the time for which changes accumulate between two watch calls.
+    /// Returns the time for which changes accumulate between two watch calls while they keep coming.
     fn batch_window(self, cfg: &platform::Settings, instances: usize) -> Duration {
         let (default, max_delay) = match self {
             Self::Config => (CONFIG_BATCH_WINDOW, cfg.max_config_delay),
@@ -107,6 +108,7 @@
     /// Watches a kind until the watch fails or is interrupted; pauses while this instance receives
     /// updates from another instance.
     async fn watch(&self, store: &mut Store, kind: WatchedKind) -> WatchEnd {
+        let mut pacer = Pacer::default();
         loop {
             let (tx, mut rx) = oneshot::channel();
             *self.interrupts[kind as usize].borrow_mut() = Some(tx);
@@ -145,7 +147,8 @@
                     if has_changes {
                         let window =
                             kind.batch_window(&self.shell.cfg.borrow(), self.instance_count.get());
-                        sleep(self.shell.jitter(window)).await;
+                        let wait = pacer.record_call(self.shell.now(), window);
+                        sleep(self.shell.jitter(wait)).await;
                     }
                 }
                 Err(e) => {
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -19,6 +19,7 @@
 //! - [`failure_rate`] tracks lost replies and missing parts.
 //! - [`handover`] chooses the instance that runs a search.
 //! - [`branch`] chooses the shards that another instance queries.
+//! - [`pacing`] paces the calls that wait for changes on the platform.
 //! - [`watchers`] chooses the instances that watch the platform.
 
 pub mod admit;
@@ -37,6 +38,7 @@
 pub mod latency;
 pub mod merge;
 pub mod notice;
+pub mod pacing;
 pub mod placement;
 pub mod reachability;
 pub mod retry_after;
--- a/crates/tier/tests/decisions.rs
+++ b/crates/tier/tests/decisions.rs
@@ -17,6 +17,7 @@
     },
     directory::{Change, Directory},
     merge::greatest,
+    pacing::Pacer,
     retry_after::RetrySchedule,
     split::Split,
 };
@@ -425,3 +426,19 @@
     }
     assert_eq!(trials, 5);
 }
+
+/// A single change is read at once, and a storm of them costs one call a window.
+#[test]
+fn changes_are_read_at_once_until_they_keep_coming() {
+    let window = Duration::from_secs(2);
+    let mut pacer = Pacer::default();
+    for ms in [10_000, 30_000, 50_000] {
+        assert!(pacer.record_call(at(ms), window) < Duration::from_millis(100));
+    }
+    let (mut now, mut calls) = (at(70_000), 0);
+    while now < at(170_000) {
+        now = now + pacer.record_call(now, window);
+        calls += 1;
+    }
+    assert!((50..=52).contains(&calls), "{calls} calls in 100 s");
+}
