edge: receive signals on a thread of their own

Blocking the signals only while the first threads start did not help (7 of 8 runs failed): threads are spawned later too.

Change: the signals are blocked before any thread is spawned, on all of them, and one thread waits for them and passes them on.

`serve` still uses handlers.

--- a/crates/briarcove/src/edge.rs
+++ b/crates/briarcove/src/edge.rs
@@ -11,21 +11,28 @@
 mod sync;
 mod upstreams;
 
-use std::{env, io, path::PathBuf, rc::Rc};
+use std::{env, path::PathBuf, rc::Rc};
 
 use compio::{net::TcpListener, runtime::spawn};
+use futures_channel::mpsc::UnboundedReceiver;
+use nix::sys::signal::Signal;
 use platform::settings::PATH_VARIABLE;
 use slog::{error, info};
 
-use crate::{args, exit::Exit, logs, signal_handlers};
+use crate::{args, exit::Exit, logs, signal_thread};
 use shell::Shell;
 
 /// Runs an instance until the process receives SIGTERM.
 pub fn run(args: &args::Edge) -> Exit {
+    // Before any thread is spawned, so that a signal never ends the process by its default action.
+    let signals = match signal_thread::receive(&[Signal::SIGHUP, Signal::SIGTERM]) {
+        Ok(signals) => signals,
+        Err(e) => {
+            eprintln!("briarcove: failed to receive signals: {e}");
+            return Exit::Unreachable;
+        }
+    };
     let logs = logs::start_stdout();
-    // Installed first, so that a signal during the start does not end the process by its default
-    // action.
-    let mut handlers = signal_handlers::install(&logs.logger(), &[libc::SIGHUP, libc::SIGTERM]);
     let path = args
         .settings
         .clone()
@@ -49,17 +56,13 @@
         }
     };
     let shell = Shell::new(cfg, path, logs.logger());
-    let exit = event_loop::block_on(
-        &runtime,
-        &shell,
-        serve(Rc::clone(&shell), handlers.wait(libc::SIGTERM)),
-    );
+    let exit = event_loop::block_on(&runtime, &shell, serve(Rc::clone(&shell), signals));
     drop(shell);
     drop(logs);
     exit
 }
 
-async fn serve(shell: Rc<Shell>, stop: impl Future<Output = io::Result<()>>) -> Exit {
+async fn serve(shell: Rc<Shell>, signals: UnboundedReceiver<Signal>) -> Exit {
     let (cfg, log) = (shell.cfg.borrow().clone(), shell.log.clone());
     let listeners = async {
         Ok::<_, std::io::Error>((
@@ -84,8 +87,8 @@
     spawn(peers::send_watermarks(Rc::clone(&shell))).detach();
     spawn(peers::accept(Rc::clone(&shell), peer_instances)).detach();
     sync::start(&shell);
-    signals::watch_reload(&shell);
-    signals::run_until_stopped(&shell, stop).await;
+    signals::watch_settings(&shell);
+    signals::run_until_stopped(&shell, signals).await;
     info!(log, "instance stopped"; "unanswered" => shell.pending_requests());
     Exit::Ok
 }
--- a/crates/briarcove/src/edge/signals.rs
+++ b/crates/briarcove/src/edge/signals.rs
@@ -1,8 +1,11 @@
 //! Signal handling: graceful stop on SIGTERM, reload of the settings on SIGHUP.
 
-use std::{io, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
-use compio::{runtime::spawn, signal::unix::signal, time::sleep};
+use compio::{runtime::spawn, time::sleep};
+use futures_channel::mpsc::UnboundedReceiver;
+use futures_util::StreamExt;
+use nix::sys::signal::Signal;
 use slog::{error, info, warn};
 use tier::Event;
 
@@ -21,18 +24,8 @@
 /// Time limit for writing the answers that are ready when the connections are closed.
 const FLUSH_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Reloads the settings on SIGHUP and when the settings file has changed.
-pub(super) fn watch_reload(shell: &Rc<Shell>) {
-    let on_signal = Rc::clone(shell);
-    spawn(async move {
-        loop {
-            match signal(libc::SIGHUP).await {
-                Ok(()) => reload(&on_signal, "signal"),
-                Err(e) => return error!(on_signal.log, "failed to wait for SIGHUP"; "error" => %e),
-            }
-        }
-    })
-    .detach();
+/// Reloads the settings when their file has changed.
+pub(super) fn watch_settings(shell: &Rc<Shell>) {
     let on_change = Rc::clone(shell);
     spawn(async move {
         let mut last_version = file_version(&on_change);
@@ -72,17 +65,25 @@
     }
 }
 
+/// Reloads the settings on each SIGHUP; returns on SIGTERM.
+async fn wait_for_stop(shell: &Rc<Shell>, signals: &mut UnboundedReceiver<Signal>) {
+    loop {
+        match signals.next().await {
+            Some(Signal::SIGHUP) => reload(shell, "signal"),
+            Some(_) => return,
+            None => {
+                error!(shell.log, "no longer receiving signals");
+                std::future::pending::<()>().await;
+            }
+        }
+    }
+}
+
 /// Serves until SIGTERM, then drains: goes on until no connection is open and [`MIN_STOP_TIME`] is
 /// over, but no longer than the grace period. Then the remaining requests are ended and the
 /// connections are closed.
-pub(super) async fn run_until_stopped(
-    shell: &Rc<Shell>,
-    stop: impl Future<Output = io::Result<()>>,
-) {
-    if let Err(e) = stop.await {
-        error!(shell.log, "failed to wait for SIGTERM"; "error" => %e);
-        std::future::pending::<()>().await;
-    }
+pub(super) async fn run_until_stopped(shell: &Rc<Shell>, mut signals: UnboundedReceiver<Signal>) {
+    wait_for_stop(shell, &mut signals).await;
     let grace = shell.cfg.borrow().grace;
     info!(shell.log, "stopping; readiness checks fail from now on";
         "in_hand" => shell.pending_requests(), "connections" => shell.connections.open(),
--- a/crates/briarcove/src/lib.rs
+++ b/crates/briarcove/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logs;
 pub mod serve;
 mod signal_handlers;
+mod signal_thread;
 pub mod status;
 mod store;
 mod utc;
--- a/crates/briarcove/tests/edge.rs
+++ b/crates/briarcove/tests/edge.rs
@@ -277,6 +277,36 @@
     }
 }
 
+/// Guards against an abort of the process by a signal that is handled on a thread that is being
+/// spawned (soak with crashes, seed 1009).
+#[test]
+fn signals_during_the_start_abort_no_instance() {
+    let site = Site::new(&folder("aborted")).unwrap();
+    let mut starting: Vec<Site> = (0..48)
+        .map(|index| {
+            let name = format!("edge-aborted-{index}");
+            let mut instance = site.sharing_store(&folder(&name), &name, 0.5).unwrap();
+            instance.spawn(PROGRAM.as_ref()).unwrap();
+            thread::sleep(Duration::from_micros(1_000 + 50 * (index % 24)));
+            for _ in 0..60 {
+                // The instance may have ended before it could install its handlers.
+                if instance.signal(Signal::SIGHUP).is_err() {
+                    break;
+                }
+                thread::sleep(Duration::from_micros(80));
+            }
+            instance
+        })
+        .collect();
+    for instance in &mut starting {
+        if !instance.has_ended() {
+            instance.signal(Signal::SIGKILL).unwrap();
+        }
+        let ended_by = instance.wait_for_signal().unwrap();
+        assert_ne!(ended_by, Some(Signal::SIGABRT as i32));
+    }
+}
+
 #[test]
 fn a_configuration_that_a_watch_missed_comes_into_force() {
     let (site, _upstreams) = start_site("hidden");
--- a/crates/rig/src/edge/site.rs
+++ b/crates/rig/src/edge/site.rs
@@ -3,6 +3,7 @@
 use std::{
     fs, io,
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
+    os::unix::process::ExitStatusExt,
     path::{Path, PathBuf},
     process::{Child, Command, Stdio},
     sync::{
@@ -305,6 +306,19 @@
         kill(Pid::from_raw(id), signal).map_err(io::Error::other)
     }
 
+    /// Waits for the instance to exit and returns the signal that ended it, if any.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the instance is not running.
+    pub fn wait_for_signal(&mut self) -> io::Result<Option<i32>> {
+        let mut child = self
+            .child
+            .take()
+            .ok_or_else(|| io::Error::other("not started"))?;
+        Ok(child.wait()?.signal())
+    }
+
     /// Waits for the instance to exit and returns its exit code, or `None` if a signal ended it.
     ///
     /// # Errors
