platform, edge: tell refusals without an era from answers before a drill

Cause: found in the review of the drill's code. A 503 or 429 without `Store-Era`, as whatever stands in front of the store may send it, was taken for an answer of the first era, so an outage after a drill was not noticed and removals were not held. A follower whose followed instance runs an older program would have ignored all its updates after a drill, and the hold of a returning store could end the longer one of a drill.

--- a/crates/briarcove/src/edge/sync/following.rs
+++ b/crates/briarcove/src/edge/sync/following.rs
@@ -4,7 +4,7 @@
 
 use compio::time::{sleep, timeout};
 use futures_util::StreamExt;
-use platform::{Position, store::Object};
+use platform::{Era, Position, store::Object};
 use serde_json::Value;
 use slog::{info, warn};
 use tier::Instance;
@@ -34,6 +34,8 @@
     Closed,
     /// It is no longer among the candidates.
     NotCandidate,
+    /// It runs a version that knows no eras of the store, of which there has been more than one.
+    NoEras,
 }
 
 impl EndReason {
@@ -44,6 +46,7 @@
             Self::StoreLost => "Blind",
             Self::Closed => "Closed",
             Self::NotCandidate => "NoCandidate",
+            Self::NoEras => "NoEras",
         }
     }
 }
@@ -84,6 +87,14 @@
             Ok(None) => return EndReason::Closed,
             Err(_) => return EndReason::Silent,
         };
+        let knows_eras = match &payload {
+            Payload::Update(update) => update.era > 0,
+            Payload::Watermark(watermark) => watermark.config_era > 0,
+            _ => true,
+        };
+        if !knows_eras && sync.latest_era.get() > Era::default() {
+            return EndReason::NoEras;
+        }
         match payload {
             Payload::Update(update) => sync.apply_update(update),
             Payload::Watermark(watermark) => {
--- a/crates/briarcove/tests/drill.rs
+++ b/crates/briarcove/tests/drill.rs
@@ -164,3 +164,18 @@
     let metrics = site.metrics().unwrap();
     assert!(metrics.contains("briarcove_store_era 2"), "{metrics}");
 }
+
+/// A refusal without an era is not taken for an answer from before the drill.
+#[test]
+fn a_store_that_refuses_calls_counts_as_lost_whatever_the_era() {
+    let (site, _upstreams) = start_site("drill_down");
+    site.store.restore(Duration::ZERO);
+    thread::sleep(Duration::from_millis(2_000));
+    site.store.set_availability(Availability::Down);
+    let end = Instant::now() + Duration::from_secs(4);
+    while !site.log().unwrap().contains("store unavailable") {
+        assert!(Instant::now() < end, "the instance does not notice");
+        thread::sleep(Duration::from_millis(50));
+    }
+    site.store.set_availability(Availability::Sound);
+}
--- a/crates/rig/src/edge/store.rs
+++ b/crates/rig/src/edge/store.rs
@@ -282,8 +282,11 @@
 
     async fn handle(self: Rc<Self>, _first: bool, req: Request<Incoming>) -> Result<Reply, Abort> {
         let mut reply = self.answer(req).await?;
-        let era = self.store.state().restores + 1;
-        reply.headers_mut().insert("store-era", era.into());
+        // Refusals may come from whatever stands in front of the store.
+        if reply.status() != StatusCode::SERVICE_UNAVAILABLE {
+            let era = self.store.state().restores + 1;
+            reply.headers_mut().insert("store-era", era.into());
+        }
         Ok(reply)
     }
 }
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -244,7 +244,7 @@
     /// of that time.
     pub fn platform_back(&mut self, now: Time, hold: Duration) -> Time {
         self.is_platform_lost = false;
-        self.hold_until = now + hold;
+        self.hold_until = self.hold_until.max(now + hold);
         self.hold_until
     }
 
