--- a/crates/tier/src/crash/starvation.rs
+++ b/crates/tier/src/crash/starvation.rs
@@ -8,8 +8,8 @@
 
 use base::Time;
 
-/// Lateness of a timer from which the instance counts as starved; twice the delay after which a
-/// broken connection is checked would hide a crash, and a loaded loop is late by far less.
+/// Lateness of a timer from which the instance counts as starved; one that is merely busy is late by
+/// far less.
 const MAX_LATENESS: Duration = Duration::from_millis(100);
 
 /// Time for which it counts as starved after that; probes that were sent before have ended then.
--- a/crates/tier/src/settings.rs
+++ b/crates/tier/src/settings.rs
@@ -30,8 +30,8 @@
     /// Time for which removals are held after the platform has come back from an older copy, in
     /// which upstreams and operators write theirs again.
     pub reset_removal_hold: Duration,
-    /// Time after that in which an entry of a removed upstream is not believed; the platform removes
-    /// entries that are no longer written within this time.
+    /// Time after such a return in which an entry of an upstream that was removed before is not
+    /// believed; within it the platform removes the entries that nobody writes any more.
     pub reset_doubt: Duration,
     /// Time for which an abandoned attempt may continue before its connection is closed.
     pub linger: Duration,
