--- a/crates/briarcove/src/edge/sync/watch.rs
+++ b/crates/briarcove/src/edge/sync/watch.rs
@@ -82,8 +82,13 @@
             Ok(listed) => {
                 sync.shell.metrics.count_store_call("list", "ok");
                 sync.note_era();
-                sync.apply_list(kind, listed.objects, listed.position);
-                sync.known[kind as usize].set(listed.position);
+                let known = &sync.known[kind as usize];
+                // While the list was under way, the followed instance may have sent newer changes,
+                // and sends them only once.
+                if listed.position >= known.get() {
+                    sync.apply_list(kind, listed.objects, listed.position);
+                    known.set(listed.position);
+                }
                 sync.roles_known.until(true).await;
                 let problem = sync.watch(&mut store, kind).await;
                 info!(sync.shell.log, "watch ended; listing again"; "kind" => kind.store_kind(),
--- a/crates/briarcove/tests/peers.rs
+++ b/crates/briarcove/tests/peers.rs
@@ -1,6 +1,12 @@
 //! The `edge` command: several instances on a stand-in for the users' platform.
 
 use std::{
+    io::{Read, Write},
+    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -198,3 +204,137 @@
     }
     assert_eq!(names(), ["edge-here-1", "edge-here-2"]);
 }
+
+/// A way to the store on which answers on new connections can be held back.
+struct SlowWay {
+    address: SocketAddr,
+    /// Whether connections are closed.
+    is_down: Arc<AtomicBool>,
+    is_slow: Arc<AtomicBool>,
+    /// Number of connections since it is slow.
+    slowed: Arc<AtomicUsize>,
+    open: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl SlowWay {
+    /// Ends all connections, and closes new ones.
+    fn cut(&self) {
+        self.is_down.store(true, Ordering::Relaxed);
+        for stream in self.open.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+/// Time for which an answer is held back; shorter than the time limit of a probe.
+const ANSWER_DELAY: Duration = Duration::from_millis(1_000);
+
+/// Time after the return of the store in which removals are held.
+const REMOVAL_HOLD: Duration = Duration::from_millis(2_200);
+
+fn start_slow_way(store: SocketAddr) -> SlowWay {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let (is_slow, slowed) = (Arc::new(AtomicBool::new(false)), Arc::default());
+    let is_down = Arc::new(AtomicBool::new(false));
+    let down = Arc::clone(&is_down);
+    let open: Arc<Mutex<Vec<TcpStream>>> = Arc::default();
+    let (slow, count): (Arc<AtomicBool>, Arc<AtomicUsize>) =
+        (Arc::clone(&is_slow), Arc::clone(&slowed));
+    let streams = Arc::clone(&open);
+    thread::spawn(move || {
+        for client in listener.incoming() {
+            let client = client.unwrap();
+            if down.load(Ordering::Relaxed) {
+                continue;
+            }
+            let Ok(server) = TcpStream::connect(store) else {
+                continue;
+            };
+            let delay = match slow.load(Ordering::Relaxed) {
+                true => ANSWER_DELAY,
+                false => Duration::ZERO,
+            };
+            count.fetch_add(usize::from(!delay.is_zero()), Ordering::Relaxed);
+            streams.lock().unwrap().push(client.try_clone().unwrap());
+            let (there, back) = (client.try_clone().unwrap(), server.try_clone().unwrap());
+            thread::spawn(move || forward(there, server, Duration::ZERO));
+            thread::spawn(move || forward(back, client, delay));
+        }
+    });
+    SlowWay {
+        address,
+        is_down,
+        is_slow,
+        slowed,
+        open,
+    }
+}
+
+fn forward(mut from: TcpStream, mut to: TcpStream, delay: Duration) {
+    let mut buf = [0; 65_536];
+    while let Ok(read @ 1..) = from.read(&mut buf) {
+        thread::sleep(delay);
+        if to.write_all(&buf[..read]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+}
+
+/// Guards against a list that arrives later than an update which is newer: it brought back upstreams
+/// that had been removed, for good (bench, pcr-briarcove-grown, trouble-3).
+#[test]
+fn a_follower_ignores_a_list_that_is_older_than_what_it_knows() {
+    let mut site = Site::new(&folder("late_list")).unwrap();
+    for other in 0..45 {
+        let spec = serde_json::json!({"dataCentre": "there", "power": 0.01,
+            "address": format!("127.0.0.1:{}", 100 + other)});
+        site.store
+            .put("briarcove-instances", &format!("gone-{other}"), spec);
+    }
+    let spec = serde_json::json!({"dataCentre": "here", "power": 0.4, "address": "127.0.0.1:99"});
+    site.store.put("briarcove-instances", "gone-here", spec);
+    let fast = Behaviour::Replies(Duration::from_millis(2));
+    let leaving = Upstream::start("desk-1", "desk", fast).unwrap();
+    let shedding = Upstream::start("desk-2", "desk", Behaviour::Sheds).unwrap();
+    site.register(&leaving, "ready");
+    site.register(&shedding, "ready");
+    site.configure(1, &[route_one("/status/", "desk", true)], &["desk"]);
+    site.start(PROGRAM.as_ref()).unwrap();
+    let mut follower = site
+        .sharing_store(&folder("late_list_follower"), "edge-here-2", 0.1)
+        .unwrap();
+    let way = start_slow_way(site.store_address());
+    follower.set_store_address(way.address);
+    follower.start(PROGRAM.as_ref()).unwrap();
+    let end = Instant::now() + Duration::from_secs(12);
+    while !follower.log().unwrap().contains("following an instance") {
+        assert!(Instant::now() < end, "the instance follows no other one");
+        thread::sleep(Duration::from_millis(50));
+    }
+    thread::sleep(Duration::from_millis(1_000));
+    // The follower takes the store for lost, and lists everything again on its return: after the
+    // connection of its probe, it opens two more.
+    way.cut();
+    let end = Instant::now() + Duration::from_secs(15);
+    while !follower.log().unwrap().contains("store unavailable") {
+        assert!(Instant::now() < end, "the follower misses no store");
+        thread::sleep(Duration::from_millis(20));
+    }
+    way.is_slow.store(true, Ordering::Relaxed);
+    way.is_down.store(false, Ordering::Relaxed);
+    while way.slowed.load(Ordering::Relaxed) < 3 {
+        assert!(Instant::now() < end, "the follower does not list again");
+        thread::sleep(Duration::from_millis(5));
+    }
+    thread::sleep(Duration::from_millis(100));
+    site.store.remove("servers", "desk-1");
+    thread::sleep(ANSWER_DELAY + REMOVAL_HOLD + Duration::from_millis(800));
+    let before = leaving.arrivals().len();
+    for round in 0..10 {
+        let id = format!("late-{round}");
+        follower.ask("GET", "/status/1", &id, 500).unwrap();
+    }
+    assert_eq!(leaving.arrivals().len(), before);
+}
