edge tests: an upstream is made to announce its departure, not waited for

By its log, all 200 requests that the test sent first went to the other upstream, whose connection was open, so desk-1 never announced anything, and the refusal that the test asks for at the end was not due. The test did not check that.

Change: the other upstream rejects the first request, which then reaches this one, and the test asserts that it did. All other checks and bounds are as before.

--- a/crates/briarcove/tests/edge.rs
+++ b/crates/briarcove/tests/edge.rs
@@ -366,11 +366,11 @@
         site.ask("GET", "/status/1", &format!("l{n}"), 1500)
             .unwrap()
     };
-    let mut sent = 0;
-    while upstreams[6].arrivals().is_empty() && sent < 200 {
-        assert_eq!(status(sent).status(), 200);
-        sent += 1;
-    }
+    // The first request that the other upstream rejects reaches this one.
+    upstreams[7].set_behaviour(Behaviour::Sheds);
+    assert_eq!(status(0).status(), 200);
+    assert_eq!(upstreams[6].arrivals().len(), 1);
+    upstreams[7].set_behaviour(Behaviour::Replies(Duration::from_millis(2)));
     let before = desk_arrivals(&upstreams, [0, 0]);
     site.store.remove("servers", "desk-1");
     thread::sleep(Duration::from_millis(1_000));
