--- a/crates/briarcove/tests/malformed.rs
+++ b/crates/briarcove/tests/malformed.rs
@@ -120,8 +120,12 @@
         );
         stream.write_all(head.as_bytes()).unwrap();
         let mut answer = String::new();
-        let _ = stream.read_to_string(&mut answer);
-        assert!(answer.starts_with("HTTP/1.1 200"), "{left}: {answer}");
+        let read = stream.read_to_string(&mut answer);
+        assert!(
+            answer.starts_with("HTTP/1.1 200"),
+            "{left}: {answer}, {read:?}, log {}",
+            site.log().unwrap()
+        );
     }
     // A peer that sends no frames.
     let mut peers = site.operator_address();
