edge tests: read answers as bytes

Change: the answer is read as bytes, and a failed read fails the test. The check of the status is the same.

--- a/crates/briarcove/tests/malformed.rs
+++ b/crates/briarcove/tests/malformed.rs
@@ -119,13 +119,11 @@
              x-timeout-remaining: {left}\r\nconnection: close\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).unwrap();
-        let mut answer = String::new();
-        let read = stream.read_to_string(&mut answer);
-        assert!(
-            answer.starts_with("HTTP/1.1 200"),
-            "{left}: {answer}, {read:?}, log {}",
-            site.log().unwrap()
-        );
+        // The body is not text.
+        let mut answer = Vec::new();
+        stream.read_to_end(&mut answer).unwrap();
+        let answer = String::from_utf8_lossy(&answer);
+        assert!(answer.starts_with("HTTP/1.1 200"), "{left}: {answer}");
     }
     // A peer that sends no frames.
     let mut peers = site.operator_address();
