edge: log and count what is sent to upstreams that name a limit

Cause: nothing in the logs or metrics tells whether the limit of an upstream is read, who sends what to it, and of which kind. Change: the header is parsed, the limit is kept with the upstream until a reply to a later request names none; log lines for its start, change and end, and every four seconds for the attempts sent; a metric. No decision uses it.

--- a/crates/briarcove/src/edge/metrics.rs
+++ b/crates/briarcove/src/edge/metrics.rs
@@ -24,6 +24,7 @@
     late_answers: IntCounter,
     attempts: IntCounterVec,
     cancelled_attempts: IntCounter,
+    limited_attempts: IntCounter,
     handed_over: IntCounterVec,
     upstream_connections: IntCounter,
     connections_refused: IntCounter,
@@ -80,6 +81,10 @@
             late_answers: counter("late_answers", "Requests that ended after their objective"),
             attempts: counters("attempts", "Attempts by outcome", &["outcome"]),
             cancelled_attempts: counter("cancelled_attempts", "Attempts that were broken off"),
+            limited_attempts: counter(
+                "limited_attempts",
+                "Attempts at upstreams that name a limit, counted every four seconds",
+            ),
             handed_over: counters("handed_over", "Searches run by other instances", &["end"]),
             upstream_connections: counter("upstream_connections", "Connections opened"),
             connections_refused: counter("refused_connections", "Connections of callers closed"),
@@ -117,6 +122,13 @@
             Note::UpstreamDraining(..) => "draining",
             Note::UpstreamLeaving(..) => "announced_leaving",
             Note::UpstreamPaused(..) => "announced_pause",
+            Note::UpstreamLimited(..) => "announced_limit",
+            Note::LimitEnded(..) => "limit_ended",
+            Note::LimitedUpstreamLoad(_, load, _) => {
+                self.limited_attempts
+                    .inc_by(u64::from(load.first + load.extra));
+                return;
+            }
             Note::UpstreamGone(..) => "gone",
             Note::RemovalHeld(..) => "removal_held",
             Note::UpstreamEjected(..) => "passed_over",
--- a/crates/briarcove/src/edge/note_log.rs
+++ b/crates/briarcove/src/edge/note_log.rs
@@ -3,6 +3,7 @@
 use std::{cell::Cell, time::Duration};
 
 use base::{Time, UpstreamName};
+use platform::reply::InvalidAnnouncement;
 use slog::{Logger, info, warn};
 use tier::{Note, effect::CallSummary};
 
@@ -35,11 +36,16 @@
         }
     }
 
-    /// Reports a `Retry-After` header of an upstream that is ignored.
-    pub(super) fn write_invalid_pause(&self, now: Time, upstream: &UpstreamName, value: &str) {
+    /// Reports an announcement of an upstream that is ignored.
+    pub(super) fn write_invalid_announcement(
+        &self,
+        now: Time,
+        upstream: &UpstreamName,
+        invalid: &InvalidAnnouncement,
+    ) {
         if self.is_within_rate(now) {
-            warn!(self.log, "ignoring the invalid retry-after time of an upstream";
-                "upstream" => %upstream, "value" => value);
+            warn!(self.log, "ignoring an invalid announcement of an upstream";
+                "upstream" => %upstream, "header" => %invalid.name, "value" => &*invalid.value);
         } else {
             self.dropped.set(self.dropped.get() + 1);
         }
@@ -74,6 +80,30 @@
                     self.dropped.set(self.dropped.get() + 1);
                 }
             }
+            Note::UpstreamLimited(name, rate) => {
+                if self.is_within_rate(now) {
+                    info!(self.log, "upstream names a limit on requests from all instances";
+                        "upstream" => %name, "per_s" => rate.per_second());
+                } else {
+                    self.dropped.set(self.dropped.get() + 1);
+                }
+            }
+            Note::LimitedUpstreamLoad(name, load, time) => {
+                if self.is_within_rate(now) {
+                    info!(self.log, "requests sent to an upstream that names a limit";
+                        "upstream" => %name, "first" => load.first, "extra" => load.extra,
+                        "for_others" => load.for_others, "within_ms" => time.as_millis() as u64);
+                } else {
+                    self.dropped.set(self.dropped.get() + 1);
+                }
+            }
+            Note::LimitEnded(name) => {
+                if self.is_within_rate(now) {
+                    info!(self.log, "upstream names no limit any more"; "upstream" => %name);
+                } else {
+                    self.dropped.set(self.dropped.get() + 1);
+                }
+            }
             Note::UpstreamGone(name, service) => {
                 info!(self.log, "upstream gone"; "upstream" => %name, "service" => %service);
             }
--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -283,7 +283,7 @@
 fn report_departure(shell: &Rc<Shell>, departure: &Departure) {
     let notice = Notice {
         is_leaving: true,
-        pause: None,
+        ..Notice::default()
     };
     match departure.upstream.parse() {
         Ok(name) => {
--- a/crates/briarcove/src/edge/upstreams.rs
+++ b/crates/briarcove/src/edge/upstreams.rs
@@ -203,7 +203,7 @@
     let notice = reply::notice(reply).unwrap_or_else(|(notice, invalid)| {
         shell
             .note_log
-            .write_invalid_pause(shell.now(), &send.name, &invalid.0);
+            .write_invalid_announcement(shell.now(), &send.name, &invalid);
         notice
     });
     if let Some(notice) = notice {
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -279,6 +279,16 @@
         self.upstreams.get_mut(key)
     }
 
+    /// Returns the upstream with a name if it is the incarnation that started at a time.
+    pub fn incarnation_mut(
+        &mut self,
+        name: &UpstreamName,
+        started_ms: u64,
+    ) -> Option<&mut Upstream> {
+        let upstream = self.upstreams.get_mut(self.names.get(name).copied()?)?;
+        (upstream.entry.started_ms == started_ms).then_some(upstream)
+    }
+
     /// Returns the upstreams of a service, draining and ejected ones included.
     pub fn of(&self, service: &ServiceName) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
         let list = self.services.get(service).map_or(&[][..], Vec::as_slice);
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -9,6 +9,7 @@
     crash::Crash,
     event::{AttemptKey, Failure, Protocol},
     handover::Instance,
+    limit::{Load, RequestRate},
     upstream::UpstreamKey,
 };
 
@@ -285,6 +286,12 @@
     UpstreamLeaving(UpstreamName),
     /// An upstream has announced in a reply that it accepts no requests for a time.
     UpstreamPaused(UpstreamName, Duration),
+    /// An upstream names a limit in its replies, or another one than before.
+    UpstreamLimited(UpstreamName, RequestRate),
+    /// What this instance has sent, within a time, to an upstream that names a limit.
+    LimitedUpstreamLoad(UpstreamName, Load, Duration),
+    /// An upstream names no limit any more.
+    LimitEnded(UpstreamName),
     /// An upstream was removed.
     UpstreamGone(UpstreamName, ServiceName),
     /// The removal of an upstream is held.
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -9,6 +9,7 @@
 //! - [`placement`] chooses the upstream of a request.
 //! - [`admit`] refuses requests and skips shards under overload.
 //! - [`hedge`] decides when a part is sent to a second upstream.
+//! - [`limit`] keeps to the limits that upstreams name.
 //! - [`notice`] keeps what upstreams announce about themselves in their replies.
 //! - [`completion`] decides when a search is answered or fails.
 //! - [`retry_after`] gives refused callers the time of their next attempt.
@@ -36,6 +37,7 @@
 pub mod handover;
 pub mod hedge;
 pub mod latency;
+pub mod limit;
 pub mod merge;
 pub mod notice;
 pub mod pacing;
--- a/crates/tier/src/notice.rs
+++ b/crates/tier/src/notice.rs
@@ -12,6 +12,8 @@
 
 use base::{Time, UpstreamName};
 
+use crate::limit::RequestRate;
+
 /// Maximum number of incarnations whose announcements are remembered.
 const MAX_REMEMBERED: usize = 4_096;
 
@@ -20,12 +22,14 @@
 pub const MAX_PAUSE: Duration = Duration::from_secs(300);
 
 /// An announcement in a reply.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// Whether the upstream leaves and accepts no new requests.
     pub is_leaving: bool,
     /// Time for which it accepts no requests from this instance.
     pub pause: Option<Duration>,
+    /// Requests a second that it takes from all instances together, until a reply names no limit.
+    pub limit: Option<RequestRate>,
 }
 
 impl Notice {
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -6,6 +6,7 @@
 mod calls;
 mod crashes;
 mod handovers;
+mod limits;
 mod outcomes;
 mod updates;
 
--- a/crates/tier/src/tier/attempts.rs
+++ b/crates/tier/src/tier/attempts.rs
@@ -8,7 +8,7 @@
 use crate::{
     call::PartState,
     effect::{Effect, FailedAttempt, Send},
-    event::{AttemptKey, Failure, Outcome, Protocol, Reply},
+    event::{AttemptKey, Failure, Origin, Outcome, Protocol, Reply},
     hedge, placement,
     timers::Due,
     upstream::UpstreamKey,
@@ -72,6 +72,8 @@
             idempotent,
             connections: 0,
         };
+        let is_for_other = call.head.origin != Origin::Caller;
+        self.count_limited(now, key, first, is_for_other, effects);
         let connections = self.connections(&config, &service);
         effects.push(Effect::Send(Send {
             connections,
--- a/crates/tier/src/tier/outcomes.rs
+++ b/crates/tier/src/tier/outcomes.rs
@@ -45,6 +45,15 @@
             return;
         };
         upstream.attempt_ended(key);
+        if matches!(
+            outcome,
+            Outcome::Reply(_) | Outcome::Failed(Failure::NotRun)
+        ) {
+            self.end_unnamed_limit(attempt.upstream, attempt.sent, effects);
+        }
+        let Some(upstream) = self.directory.get_mut(attempt.upstream) else {
+            return;
+        };
         match outcome {
             Outcome::Reply(reply) => upstream.loss_rate.add(now, !reply.is_success()),
             Outcome::Failed(Failure::Broken | Failure::Malformed) => {
--- a/crates/tier/src/tier/updates.rs
+++ b/crates/tier/src/tier/updates.rs
@@ -133,7 +133,10 @@
             effects.push(Effect::Note(Note::UpstreamPaused(name.clone(), pause)));
         }
         if changed.leaves {
-            effects.push(Effect::Note(Note::UpstreamLeaving(name)));
+            effects.push(Effect::Note(Note::UpstreamLeaving(name.clone())));
+        }
+        if let Some(rate) = notice.limit {
+            self.on_limit_named(now, name, started_ms, rate, effects);
         }
     }
 
--- a/crates/tier/src/upstream.rs
+++ b/crates/tier/src/upstream.rs
@@ -4,7 +4,7 @@
 
 use base::{DataCentre, ServiceName, Time, UpstreamName};
 
-use crate::{event::AttemptKey, failure_rate::FailureRate, latency::LatencyRatio};
+use crate::{event::AttemptKey, failure_rate::FailureRate, latency::LatencyRatio, limit::Limit};
 
 slotmap::new_key_type! {
     /// Key of an upstream incarnation within one instance.
@@ -74,6 +74,8 @@
     pub is_leaving: bool,
     /// Time until which it accepts no requests from this instance, as it has announced.
     pub paused_until: Time,
+    /// The limit that it names in its replies.
+    pub limit: Option<Limit>,
     /// Time of the last reply; its connection is kept open for a while after that.
     pub replied_at: Option<Time>,
     /// Time at which the latest request that was answered or rejected had been sent.
@@ -98,6 +100,7 @@
             full_until: Time::ZERO,
             is_leaving: false,
             paused_until: Time::ZERO,
+            limit: None,
             replied_at: None,
             answered_since: None,
             down_at: None,
--- a/crates/tier/tests/notices.rs
+++ b/crates/tier/tests/notices.rs
@@ -30,12 +30,14 @@
 const LEAVING: Notice = Notice {
     is_leaving: true,
     pause: None,
+    limit: None,
 };
 
 fn pause(seconds: u64) -> Notice {
     Notice {
         is_leaving: false,
         pause: Some(Duration::from_secs(seconds)),
+        ..Notice::default()
     }
 }
 
