--- a/crates/tier/tests/main.rs
+++ b/crates/tier/tests/main.rs
@@ -7,6 +7,7 @@
 mod decisions;
 mod handover;
 mod instance;
+mod limits;
 mod load;
 mod notices;
 mod overload;
--- a/crates/tier/tests/simulation.rs
+++ b/crates/tier/tests/simulation.rs
@@ -12,12 +12,13 @@
     time::Duration,
 };
 
-use base::{CallId, Time};
+use base::{CallId, Time, UpstreamName};
 use bytes::Bytes;
 use rand::{Rng, rngs::SmallRng};
 use tier::{
     Answer, AttemptKey, Effect, Event, Failure, HandOverOutcome, Head, LimitedShard, Origin,
-    Outcome, Tier, crash::suspicion::ProbeResult, effect::HandOver,
+    Outcome, Tier, crash::suspicion::ProbeResult, effect::HandOver, limit::RequestRate,
+    notice::Notice,
 };
 
 pub(crate) use build::SimulationConfig;
@@ -29,6 +30,7 @@
 /// A simulated upstream.
 #[derive(Debug)]
 pub(crate) struct Upstream {
+    name: UpstreamName,
     /// Mean service time of a request.
     pub(crate) service_time: Duration,
     /// Number of requests that it runs concurrently.
@@ -47,6 +49,12 @@
     pub(crate) is_down: bool,
     /// Whether requests to it are lost in the network.
     pub(crate) is_partitioned: bool,
+    /// The limit that it names in its replies.
+    pub(crate) limit: Option<RequestRate>,
+    /// Arrivals since the limit was set, with the instances that sent them.
+    pub(crate) limited_arrivals: Vec<(Time, usize)>,
+    /// Time at which each instance first got a reply that named the limit.
+    pub(crate) told: HashMap<usize, Time>,
     waiting: VecDeque<(usize, AttemptKey)>,
     running: Vec<(usize, AttemptKey)>,
 }
@@ -344,9 +352,13 @@
             return;
         }
         self.tally.arrivals += 1;
+        if it.limit.is_some() {
+            it.limited_arrivals.push((self.now, instance));
+        }
         self.tally.crossing += u32::from(it.data_centre != instance % self.data_centres);
         let is_shed = it.shed_rate > 0.0 && self.rng.random::<f64>() < it.shed_rate;
         if is_shed || it.waiting.len() >= it.queue {
+            self.name_limit(instance, upstream);
             let outcome = Outcome::Failed(Failure::NotRun);
             return self.deliver(instance, Event::AttemptEnded(attempt, outcome));
         }
@@ -354,6 +366,21 @@
         self.start_queued(upstream);
     }
 
+    /// Delivers what a reply announces about the limit of its upstream.
+    fn name_limit(&mut self, instance: usize, upstream: usize) {
+        let it = &mut self.upstreams[upstream];
+        let Some(limit) = it.limit else {
+            return;
+        };
+        it.told.entry(instance).or_insert(self.now);
+        let notice = Notice {
+            limit: Some(limit),
+            ..Notice::default()
+        };
+        let name = it.name.clone();
+        self.deliver(instance, Event::UpstreamNotice(name, 1, notice));
+    }
+
     fn start_queued(&mut self, upstream: usize) {
         while self.upstreams[upstream].running.len() < self.upstreams[upstream].slots
             && self.upstreams[upstream].paused_until <= self.now
@@ -390,6 +417,7 @@
             let outcome = Outcome::Failed(Failure::Broken);
             return self.deliver(instance, Event::AttemptEnded(attempt, outcome));
         }
+        self.name_limit(instance, upstream);
         let reply = SimReply {
             signature: format!("{upstream}-{}", self.next_step),
             body: Bytes::from_static(&[7; 16]),
--- a/crates/tier/tests/simulation/build.rs
+++ b/crates/tier/tests/simulation/build.rs
@@ -166,6 +166,7 @@
                 let name = format!("up-{shard}-{replica}");
                 self.names.insert(name.clone(), self.upstreams.len());
                 self.upstreams.push(Upstream {
+                    name: name.parse().unwrap(),
                     service_time: setup.service_time,
                     slots: 2,
                     queue: 12,
@@ -175,6 +176,9 @@
                     shed_rate: 0.0,
                     is_down: false,
                     is_partitioned: false,
+                    limit: None,
+                    limited_arrivals: Vec::new(),
+                    told: HashMap::new(),
                     waiting: VecDeque::new(),
                     running: Vec::new(),
                 });
