tier: keep to the limits that upstreams name

Callers noticed nothing. Cause: the header was not read; placement knew latency, refusals and losses, but no upstream's own word about its load from all instances together. The class: a bound that all instances have in common and nobody counts. Change: each instance sends its share of the limit, by the requests it is expected to have for that upstream: instances in the data centre of the upstream, and for shards those that run searches, have most of it. All kinds of attempt count. What is not used lapses after 1.5 s, so that hundreds of idle instances do not send at once. The excess goes to other replicas, or the caller is refused with the time at which there is room. Routes of the highest priority come first. A limit ends with a reply to a later request that names none, and outlives the entry of its upstream.

--- a/crates/tier/src/config.rs
+++ b/crates/tier/src/config.rs
@@ -12,7 +12,11 @@
     /// Positions of each host's routes, longest prefix first.
     hosts: HashMap<Box<str>, Vec<usize>>,
     routes: Vec<Route>,
+    /// The highest priority of a route; 0 is the highest of all.
+    top_priority: u32,
     services: HashMap<ServiceName, Service>,
+    /// The search that each shard is part of.
+    searches: HashMap<ServiceName, Search>,
     /// Limits on callers' requests and connections.
     pub limits: Limits,
 }
@@ -94,6 +98,15 @@
     pub min_parts: usize,
 }
 
+/// Size of the searches that a shard is part of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Search {
+    /// Number of shards.
+    pub parts: usize,
+    /// Latency objective, the shortest of the routes.
+    pub objective: Duration,
+}
+
 impl Config {
     /// Creates a configuration.
     pub fn new(
@@ -109,11 +122,14 @@
         for list in hosts.values_mut() {
             list.sort_by_key(|at| std::cmp::Reverse(routes[*at].prefix.len()));
         }
+        let priorities = routes.iter().map(|route| route.priority);
         Self {
             version,
+            top_priority: priorities.min().unwrap_or_default(),
             hosts,
-            routes,
             services,
+            searches: searches(&routes),
+            routes,
             limits,
         }
     }
@@ -131,13 +147,47 @@
         &self.routes[at]
     }
 
+    /// Returns whether no route has a higher priority than the one at a position.
+    pub fn is_urgent(&self, at: usize) -> bool {
+        self.routes[at].priority <= self.top_priority
+    }
+
     /// Returns all routes.
     pub fn routes(&self) -> &[Route] {
         &self.routes
     }
 
+    /// Returns the search that a service is a shard of, if any.
+    pub fn search(&self, service: &ServiceName) -> Option<Search> {
+        self.searches.get(service).copied()
+    }
+
     /// Returns the declaration of a service.
     pub fn service(&self, name: &ServiceName) -> Option<&Service> {
         self.services.get(name)
     }
 }
+
+/// Returns the search that each shard is part of.
+fn searches(routes: &[Route]) -> HashMap<ServiceName, Search> {
+    // Routes mostly share one index, which is then read once.
+    let mut indexes: Vec<(&[ServiceName], Search)> = Vec::new();
+    for route in routes {
+        let Target::Gather(gather) = &route.target else {
+            continue;
+        };
+        let shards = &*gather.shards;
+        match indexes.iter_mut().find(|(known, _)| *known == shards) {
+            Some((_, search)) => search.objective = search.objective.min(route.objective),
+            None => {
+                let parts = shards.len();
+                let objective = route.objective;
+                indexes.push((shards, Search { parts, objective }));
+            }
+        }
+    }
+    let all = indexes
+        .into_iter()
+        .flat_map(|(shards, search)| shards.iter().map(move |shard| (shard.clone(), search)));
+    all.collect()
+}
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -144,11 +144,15 @@
 
     fn insert(&mut self, now: Time, entry: Entry) -> Change {
         let (name, service, draining) = (entry.name.clone(), entry.service.clone(), entry.draining);
-        let announced = self.announcements.get(&name, entry.started_ms);
+        let started_ms = entry.started_ms;
+        let announced = self.announcements.get(&name, started_ms);
         let mut upstream = Upstream::new(entry, now);
         if let Some(announced) = announced {
             upstream.is_leaving = announced.is_leaving;
             upstream.paused_until = announced.paused_until;
+            upstream.limit = announced
+                .limit
+                .filter(|_| announced.started_ms == started_ms);
         }
         let key = self.upstreams.insert(upstream);
         self.names.insert(name, key);
@@ -216,6 +220,9 @@
             self.removed.clear();
         }
         let entry = &upstream.entry;
+        let limit = upstream.limit.clone();
+        self.announcements
+            .keep_limit(&entry.name, entry.started_ms, limit);
         let removed = Removed {
             started_ms: entry.started_ms,
             seq: entry.seq,
@@ -279,14 +286,17 @@
         self.upstreams.get_mut(key)
     }
 
-    /// Returns the upstream with a name if it is the incarnation that started at a time.
-    pub fn incarnation_mut(
-        &mut self,
-        name: &UpstreamName,
-        started_ms: u64,
-    ) -> Option<&mut Upstream> {
-        let upstream = self.upstreams.get_mut(self.names.get(name).copied()?)?;
-        (upstream.entry.started_ms == started_ms).then_some(upstream)
+    /// Returns the key of the upstream with a name if it is the incarnation that started at a time.
+    pub fn incarnation(&self, name: &UpstreamName, started_ms: u64) -> Option<UpstreamKey> {
+        let key = self.names.get(name).copied()?;
+        let upstream = self.upstreams.get(key)?;
+        (upstream.entry.started_ms == started_ms).then_some(key)
+    }
+
+    /// Returns the upstreams that name a limit.
+    pub fn limited(&self) -> Vec<UpstreamKey> {
+        let limited = self.upstreams.iter().filter(|(_, up)| up.limit.is_some());
+        limited.map(|(key, _)| key).collect()
     }
 
     /// Returns the upstreams of a service, draining and ejected ones included.
--- a/crates/tier/src/handover.rs
+++ b/crates/tier/src/handover.rs
@@ -164,6 +164,36 @@
         (sum > 0.0).then(|| (own_weight * own.cpu_share / sum).min(1.0))
     }
 
+    /// Returns the local instance's share of something that all instances have in common, by the
+    /// weights that `weight` gives to instances of a data centre and CPU share; `None` if the
+    /// instances are not known.
+    pub fn weighted_share(
+        &self,
+        own: LocalInstance<'_>,
+        weight: impl Fn(&str, f64) -> f64,
+    ) -> Option<f64> {
+        self.count?;
+        let own_weight = weight(own.data_centre, own.cpu_share);
+        let others = self.peers.iter().map(|peer| &peer.instance);
+        let sum: f64 = others
+            .map(|it| weight(it.data_centre.as_str(), it.cpu_share))
+            .sum();
+        (own_weight > 0.0).then(|| own_weight / (own_weight + sum))
+    }
+
+    /// Returns whether instances with a CPU share hand searches over `parts` shards to others.
+    pub fn hands_over(
+        &self,
+        own: LocalInstance<'_>,
+        cpu_share: f64,
+        parts: usize,
+        objective: Duration,
+    ) -> bool {
+        let cpu_shares = self.peers.iter().map(|peer| peer.instance.cpu_share);
+        let most = cpu_shares.fold(own.cpu_share, f64::max);
+        exceeds_cpu_time(cpu_share, parts, objective) && most >= cpu_share * MIN_CPU_RATIO
+    }
+
     /// Returns the instance that a search over `parts` shards should be handed to, if any.
     /// `replica_share` returns the share of the shards that have a replica in a data centre.
     pub fn choose(
@@ -175,8 +205,7 @@
         replica_share: impl Fn(&DataCentre) -> f64,
         rng: &mut impl Rng,
     ) -> Option<&Instance> {
-        let needed = PART_CPU_TIME.as_secs_f64() * parts as f64 / own.cpu_share.max(1e-3);
-        if needed <= objective.as_secs_f64() * MAX_LOCAL_SHARE {
+        if !exceeds_cpu_time(own.cpu_share, parts, objective) {
             return None;
         }
         let mut best: Option<(&Peer, f64)> = None;
@@ -327,6 +356,13 @@
     }
 }
 
+/// Returns whether a search over `parts` shards takes too much of its objective to run on an
+/// instance with a CPU share.
+fn exceeds_cpu_time(cpu_share: f64, parts: usize, objective: Duration) -> bool {
+    let needed = PART_CPU_TIME.as_secs_f64() * parts as f64 / cpu_share.max(1e-3);
+    needed > objective.as_secs_f64() * MAX_LOCAL_SHARE
+}
+
 /// Properties of the local instance.
 #[derive(Clone, Copy, Debug)]
 pub struct LocalInstance<'a> {
--- a/crates/tier/src/limit.rs
+++ b/crates/tier/src/limit.rs
@@ -1,9 +1,30 @@
 //! Limits that upstreams name in their replies: the requests a second that one takes from all
 //! instances together.
+//!
+//! Load pattern: an upstream in need is the preferred one of many instances, each of which sends it
+//! little and cannot tell that the sum is too much. Each instance sends its share of the limit, of
+//! whatever kind, and the excess goes to other upstreams at once. Requests to an upstream come mostly
+//! from its own data centre, so the instances there have most of the shares. What one does not use in
+//! time lapses: hundreds of instances that have sent nothing for a while could otherwise all send at
+//! once.
 
 use std::{fmt, num::ParseFloatError, str::FromStr, time::Duration};
 
 use base::Time;
+use rand::Rng;
+
+/// Time for which a request that was allowed and not sent may still be sent.
+const LAPSE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Share of that time for which it is kept for requests of the highest priority.
+const RESERVED_SHARE: f64 = 0.5;
+
+/// Lowest limit of all instances together that is applied, in requests a second. Without any
+/// request, no reply could end a limit of zero.
+const MIN_RATE: f64 = 0.5;
+
+/// Wait until a request is allowed if it is too long to be expressed.
+const MAX_WAIT: Duration = Duration::from_secs(3_600);
 
 /// Time between two reports of what was sent to an upstream that names a limit.
 const REPORT_INTERVAL: Duration = Duration::from_secs(4);
@@ -59,6 +80,12 @@
     }
 }
 
+/// Returns the requests a second that an instance with a share of the limit may send.
+fn own_rate(rate: RequestRate, share: f64) -> f64 {
+    // A share of zero would never be used up and never allow anything.
+    rate.per_second().max(MIN_RATE) * share.max(f64::MIN_POSITIVE)
+}
+
 /// What this instance has sent to an upstream that names a limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -79,16 +106,25 @@
     load: Load,
     /// Time from which the load is counted.
     counted_from: Time,
+    /// Requests a second that this instance may send.
+    own_rate: f64,
+    /// Requests that this instance may send now; at least one is needed to send one.
+    allowance: f64,
+    allowed_at: Time,
 }
 
 impl Limit {
-    /// Creates the limit that a reply names.
-    pub fn new(now: Time, rate: RequestRate) -> Self {
+    /// Creates the limit that a reply names; `share` is the share of it that this instance has.
+    pub fn new(now: Time, rate: RequestRate, share: f64, rng: &mut impl Rng) -> Self {
         Self {
             rate,
             named_at: now,
             load: Load::default(),
             counted_from: now,
+            own_rate: own_rate(rate, share),
+            // Instances that learn of it at once do not all send their first request at once.
+            allowance: rng.random(),
+            allowed_at: now,
         }
     }
 
@@ -98,9 +134,59 @@
     }
 
     /// Applies the limit that a further reply names.
-    pub fn rename(&mut self, now: Time, rate: RequestRate) {
+    pub fn rename(&mut self, now: Time, rate: RequestRate, share: f64) {
         self.rate = rate;
         self.named_at = now;
+        self.set_share(now, share);
+    }
+
+    /// Changes the share of the limit that this instance has.
+    pub fn set_share(&mut self, now: Time, share: f64) {
+        self.allowance = self.allowance_at(now);
+        self.allowed_at = now;
+        self.own_rate = own_rate(self.rate, share);
+    }
+
+    /// Returns whether a request may be sent now.
+    pub fn allows(&self, now: Time, is_urgent: bool) -> bool {
+        self.allowance_at(now) >= self.needed(is_urgent)
+    }
+
+    /// Returns the time from which a request of any priority may be sent.
+    pub fn allows_from(&self, now: Time) -> Time {
+        let missing = self.needed(false) - self.allowance_at(now);
+        if missing <= 0.0 {
+            return now;
+        }
+        // Rounded up, so that a caller that returns then does not come a moment too early.
+        let wait = Duration::try_from_secs_f64(missing / self.own_rate).unwrap_or(MAX_WAIT);
+        now + wait + Duration::from_millis(1)
+    }
+
+    /// Counts a request that is sent against the allowance.
+    pub fn take(&mut self, now: Time) {
+        // A request that is sent regardless is made up for later.
+        self.allowance = (self.allowance_at(now) - 1.0).max(-1.0);
+        self.allowed_at = now;
+    }
+
+    /// Returns the allowance that is needed to send a request.
+    fn needed(&self, is_urgent: bool) -> f64 {
+        match is_urgent {
+            true => 1.0,
+            false => 1.0 + RESERVED_SHARE * self.lapsing().min(1.0),
+        }
+    }
+
+    /// Returns the requests that are allowed within the lapse time.
+    fn lapsing(&self) -> f64 {
+        self.own_rate * LAPSE_TIME.as_secs_f64()
+    }
+
+    fn allowance_at(&self, now: Time) -> f64 {
+        let grown = self.allowance + self.own_rate * now.since(self.allowed_at).as_secs_f64();
+        // Whole requests lapse, so that the times at which instances may send stay spread.
+        grown - (grown - 1.0 - self.lapsing()).ceil().max(0.0)
     }
 
     /// Returns whether a reply that names no limit ends this one: its request was sent after the
--- a/crates/tier/src/notice.rs
+++ b/crates/tier/src/notice.rs
@@ -12,7 +12,7 @@
 
 use base::{Time, UpstreamName};
 
-use crate::limit::RequestRate;
+use crate::limit::{Limit, RequestRate};
 
 /// Maximum number of incarnations whose announcements are remembered.
 const MAX_REMEMBERED: usize = 4_096;
@@ -40,12 +40,14 @@
 }
 
 /// What an incarnation has announced so far.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug)]
 pub(crate) struct Announced {
     pub(crate) started_ms: u64,
     pub(crate) is_leaving: bool,
     /// Time until which it accepts no requests from this instance.
     pub(crate) paused_until: Time,
+    /// The limit that it named when its entry was removed.
+    pub(crate) limit: Option<Limit>,
 }
 
 /// Announcements by the name of the upstream. They outlive its entry, which may be removed and
@@ -71,18 +73,19 @@
             started_ms,
             is_leaving: false,
             paused_until: Time::ZERO,
+            limit: None,
         };
         let before = match self.known.get(name) {
             Some(known) if known.started_ms > started_ms => return None,
-            Some(known) if known.started_ms == started_ms => *known,
+            Some(known) if known.started_ms == started_ms => known.clone(),
             _ => fresh,
         };
         let after = Announced {
             is_leaving: before.is_leaving || is_leaving,
             paused_until: before.paused_until.max(paused_until.unwrap_or(Time::ZERO)),
-            ..before
+            ..before.clone()
         };
-        if self.known.insert(name.clone(), after).is_none() {
+        if self.known.insert(name.clone(), after.clone()).is_none() {
             self.order.push_back(name.clone());
             if self.order.len() > MAX_REMEMBERED
                 && let Some(oldest) = self.order.pop_front()
@@ -93,9 +96,25 @@
         Some((before, after))
     }
 
+    /// Keeps the limit that an incarnation names, if any, as its entry is removed.
+    pub(crate) fn keep_limit(
+        &mut self,
+        name: &UpstreamName,
+        started_ms: u64,
+        limit: Option<Limit>,
+    ) {
+        if limit.is_some() {
+            self.record(name, started_ms, false, None);
+        }
+        let known = self.known.get_mut(name);
+        if let Some(known) = known.filter(|known| known.started_ms == started_ms) {
+            known.limit = limit;
+        }
+    }
+
     /// Returns what an incarnation has announced, or the one that took its place since.
     pub(crate) fn get(&self, name: &UpstreamName, started_ms: u64) -> Option<Announced> {
-        let known = self.known.get(name).copied();
+        let known = self.known.get(name).cloned();
         known.filter(|known| known.started_ms >= started_ms)
     }
 }
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -250,22 +250,31 @@
         }
     }
 
+    fn local_instance(&self) -> LocalInstance<'_> {
+        LocalInstance {
+            cpu_share: self.settings.cpu_share,
+            data_centre: &self.settings.data_centre,
+        }
+    }
+
     /// Returns this instance's share of the limits that all instances have in common at a service.
     ///
     /// It is proportional to the CPU share, as larger instances run the searches of smaller ones,
     /// and higher in data centres with replicas of the service, where most of its requests come
     /// from.
     fn resource_share(&self, service: &ServiceName) -> f64 {
-        let own = LocalInstance {
-            cpu_share: self.settings.cpu_share,
-            data_centre: &self.settings.data_centre,
-        };
+        let own = self.local_instance();
         let has_replica = |data_centre: &DataCentre| {
             let mut upstreams = self.directory.of(service);
             upstreams.any(|(_, upstream)| upstream.entry.data_centre == *data_centre)
         };
         let known = self.instances.resource_share(own, has_replica);
-        known.unwrap_or(1.0 / self.settings.assumed_instances.max(1) as f64)
+        known.unwrap_or(self.assumed_share())
+    }
+
+    /// Returns the assumed share of this instance in limits that all instances have in common.
+    fn assumed_share(&self) -> f64 {
+        1.0 / self.settings.assumed_instances.max(1) as f64
     }
 
     /// Returns this instance's bound on extra attempts to a service.
--- a/crates/tier/src/tier/attempts.rs
+++ b/crates/tier/src/tier/attempts.rs
@@ -73,7 +73,7 @@
             connections: 0,
         };
         let is_for_other = call.head.origin != Origin::Caller;
-        self.count_limited(now, key, first, is_for_other, effects);
+        self.take_limited(now, key, first, is_for_other, effects);
         let connections = self.connections(&config, &service);
         effects.push(Effect::Send(Send {
             connections,
@@ -237,11 +237,12 @@
         let mean_latency = self.routes.get(&name).map_or(route.objective / 4, |state| {
             state.latency.mean(route.objective)
         });
+        let is_urgent = call.config.is_urgent(call.route);
         let part = &self.calls[&id].parts[at];
         let others = self
             .directory
             .of(&part.service)
-            .filter(|(key, up)| up.is_usable(now) && !part.tried.contains(key));
+            .filter(|(key, up)| up.admits(now, is_urgent) && !part.tried.contains(key));
         let data_centre = &self.settings.data_centre;
         let Some(chosen) = placement::choose(now, others, data_centre, mean_latency, &mut self.rng)
         else {
--- a/crates/tier/src/tier/branches.rs
+++ b/crates/tier/src/tier/branches.rs
@@ -295,6 +295,7 @@
         };
         let route = call.config.route(call.route);
         let (objective, name) = (route.objective, Rc::from(&*route.name));
+        let is_urgent = call.config.is_urgent(call.route);
         let parts = call.branch.as_ref().map(|branch| branch.parts.clone());
         let mean_latency = self.route_state(&name).latency.mean(objective);
         for at in parts.unwrap_or_default() {
@@ -304,7 +305,7 @@
             let usable = self
                 .directory
                 .of(&service)
-                .filter(|(_, up)| up.is_usable(now));
+                .filter(|(_, up)| up.admits(now, is_urgent));
             let data_centre = &self.settings.data_centre;
             if let Some(chosen) =
                 placement::choose(now, usable, data_centre, mean_latency, &mut self.rng)
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -272,11 +272,12 @@
     ) -> Vec<Option<Candidate>> {
         let objective = call.config.route(call.route).objective;
         let mean_latency = self.route_state(name).latency.mean(objective);
+        let is_urgent = call.config.is_urgent(call.route);
         let find = |part: &Part<C::Reply>| {
             let usable = self
                 .directory
                 .of(&part.service)
-                .filter(|(_, up)| up.is_usable(now));
+                .filter(|(_, up)| up.admits(now, is_urgent));
             let data_centre = &self.settings.data_centre;
             placement::choose(now, usable, data_centre, mean_latency, &mut self.rng)
         };
@@ -330,7 +331,7 @@
     fn recovery(&self, now: Time, call: &Call<C>) -> Duration {
         let usable_in = |part: &Part<C::Reply>| {
             let upstreams = self.directory.of(&part.service);
-            let earliest = upstreams.filter_map(|(_, up)| up.usable_from()).min();
+            let earliest = upstreams.filter_map(|(_, up)| up.usable_from(now)).min();
             earliest.map_or(ASSUMED_RECOVERY, |at| at.since(now))
         };
         let mut waits: Vec<Duration> = call.parts.iter().map(usable_in).collect();
--- a/crates/tier/src/tier/crashes.rs
+++ b/crates/tier/src/tier/crashes.rs
@@ -185,6 +185,7 @@
         effects: &mut Vec<Effect<C>>,
     ) {
         let new = self.instances.set(all, &self.settings.instance);
+        self.divide_limits(now);
         if new.is_empty() {
             return;
         }
--- a/crates/tier/src/tier/limits.rs
+++ b/crates/tier/src/tier/limits.rs
@@ -1,19 +1,82 @@
-//! Limits that upstreams name: what was sent to them, and their end.
+//! Limits that upstreams name: their start, shares and end, and what is sent to those upstreams.
 
-use base::{Time, UpstreamName};
+use base::{DataCentre, Time, UpstreamName};
 
 use super::Tier;
 use crate::{
+    config::Search,
     effect::{Effect, Note},
     event::Protocol,
     limit::{Limit, RequestRate},
-    upstream::UpstreamKey,
+    upstream::{Entry, UpstreamKey},
 };
 
 /// Change of a limit, relative to the one before, from which it is reported.
 const REPORTED_CHANGE: f64 = 0.2;
 
+/// Share of its requests that an instance is assumed to send to upstreams other than the preferred
+/// ones.
+const OTHERS_SHARE: f64 = 0.2;
+
 impl<C: Protocol> Tier<C> {
+    /// Returns this instance's share of the limit of an upstream: that of the requests which it is
+    /// expected to send there, if every instance has as many callers.
+    ///
+    /// Instances prefer replicas in their own data centre. Searches are run by the instances that
+    /// have the CPU time for them, and those of data centres without a replica by a branch instance.
+    fn limit_share(&self, of: &Entry) -> f64 {
+        let (mut replicas, mut local_replicas) = (0.0, 0.0);
+        let mut data_centres: Vec<&DataCentre> = Vec::new();
+        for (_, upstream) in self.directory.of(&of.service) {
+            let data_centre = &upstream.entry.data_centre;
+            replicas += 1.0;
+            if *data_centre == of.data_centre {
+                local_replicas += 1.0;
+            }
+            if !data_centres.contains(&data_centre) {
+                data_centres.push(data_centre);
+            }
+        }
+        let own = self.local_instance();
+        let search = self.config.as_ref().and_then(|it| it.search(&of.service));
+        let weight = |data_centre: &str, cpu_share| {
+            let has_replica = || data_centres.iter().any(|it| it.as_str() == data_centre);
+            let preferred = match data_centre == of.data_centre.as_str() {
+                true => 1.0 / local_replicas,
+                false if search.is_none() && !has_replica() => 1.0 / replicas,
+                false => OTHERS_SHARE / replicas,
+            };
+            let runs = match search {
+                None => 1.0,
+                Some(Search { parts, objective }) => {
+                    match self.instances.hands_over(own, cpu_share, parts, objective) {
+                        true => cpu_share * OTHERS_SHARE,
+                        false => cpu_share,
+                    }
+                }
+            };
+            preferred * runs
+        };
+        let share = self.instances.weighted_share(own, weight);
+        share.unwrap_or(self.assumed_share())
+    }
+
+    /// Divides all limits anew after a change of the instances.
+    pub(super) fn divide_limits(&mut self, now: Time) {
+        for key in self.directory.limited() {
+            let share = self
+                .directory
+                .get(key)
+                .map(|it| self.limit_share(&it.entry));
+            let share = share.unwrap_or_default();
+            if let Some(upstream) = self.directory.get_mut(key)
+                && let Some(limit) = &mut upstream.limit
+            {
+                limit.set_share(now, share);
+            }
+        }
+    }
+
     /// Applies the limit that an upstream incarnation names in a reply.
     pub(super) fn on_limit_named(
         &mut self,
@@ -23,13 +86,20 @@
         rate: RequestRate,
         effects: &mut Vec<Effect<C>>,
     ) {
-        let Some(upstream) = self.directory.incarnation_mut(&name, started_ms) else {
+        let Some(key) = self.directory.incarnation(&name, started_ms) else {
+            return;
+        };
+        let Some(upstream) = self.directory.get(key) else {
+            return;
+        };
+        let share = self.limit_share(&upstream.entry);
+        let Some(upstream) = self.directory.get_mut(key) else {
             return;
         };
         let before = upstream.limit.as_ref().map(Limit::rate);
         match &mut upstream.limit {
-            Some(limit) => limit.rename(now, rate),
-            None => upstream.limit = Some(Limit::new(now, rate)),
+            Some(limit) => limit.rename(now, rate, share),
+            None => upstream.limit = Some(Limit::new(now, rate, share, &mut self.rng)),
         }
         let is_close = |before: RequestRate| {
             let change = (rate.per_second() - before.per_second()).abs();
@@ -57,8 +127,8 @@
         }
     }
 
-    /// Counts an attempt if its upstream names a limit.
-    pub(super) fn count_limited(
+    /// Takes an attempt from the limit that its upstream names, if any.
+    pub(super) fn take_limited(
         &mut self,
         now: Time,
         key: UpstreamKey,
@@ -69,8 +139,11 @@
         let Some(upstream) = self.directory.get_mut(key) else {
             return;
         };
-        let limit = upstream.limit.as_mut();
-        if let Some((load, time)) = limit.and_then(|it| it.count(now, is_first, is_for_other)) {
+        let Some(limit) = &mut upstream.limit else {
+            return;
+        };
+        limit.take(now);
+        if let Some((load, time)) = limit.count(now, is_first, is_for_other) {
             let name = upstream.entry.name.clone();
             effects.push(Effect::Note(Note::LimitedUpstreamLoad(name, load, time)));
         }
--- a/crates/tier/src/upstream.rs
+++ b/crates/tier/src/upstream.rs
@@ -109,11 +109,17 @@
         }
     }
 
-    /// Returns whether it may be sent new requests.
+    /// Returns whether it may be sent new requests, as far as the limit that it names allows them.
     pub fn is_usable(&self, now: Time) -> bool {
         self.accepts(now) && self.ejected_until <= now && self.full_until <= now
     }
 
+    /// Returns whether it may be sent a request now, also by the limit that it names.
+    pub fn admits(&self, now: Time, is_urgent: bool) -> bool {
+        let limit = self.limit.as_ref();
+        self.is_usable(now) && limit.is_none_or(|limit| limit.allows(now, is_urgent))
+    }
+
     /// Returns whether it accepts requests, by its entry and its announcements.
     pub fn accepts(&self, now: Time) -> bool {
         !self.is_departing() && self.paused_until <= now
@@ -125,11 +131,13 @@
     }
 
     /// Returns the time from which it may be sent new requests; `None` if it leaves.
-    pub fn usable_from(&self) -> Option<Time> {
+    pub fn usable_from(&self, now: Time) -> Option<Time> {
+        let limit = self.limit.as_ref();
         let from = self
             .paused_until
             .max(self.ejected_until)
-            .max(self.full_until);
+            .max(self.full_until)
+            .max(limit.map_or(Time::ZERO, |limit| limit.allows_from(now)));
         (!self.is_departing()).then_some(from)
     }
 
--- a/crates/tier/tests/instance.rs
+++ b/crates/tier/tests/instance.rs
@@ -42,11 +42,21 @@
         id: u64,
         origin: Origin,
         branch: Option<BranchHead>,
+    ) -> Vec<Effect<Sim>> {
+        self.call_path(id, "/x", origin, branch)
+    }
+
+    pub(crate) fn call_path(
+        &mut self,
+        id: u64,
+        path: &str,
+        origin: Origin,
+        branch: Option<BranchHead>,
     ) -> Vec<Effect<Sim>> {
         let head = Head {
             id: "a1".into(),
             host: "search.example".into(),
-            path: "/x".into(),
+            path: path.into(),
             time_left: Some(self.time_left),
             age: Duration::ZERO,
             digest: 1,
--- a/crates/tier/tests/notices.rs
+++ b/crates/tier/tests/notices.rs
@@ -25,7 +25,7 @@
 const REQUESTS: u64 = 40;
 
 /// Time that an upstream takes to reply.
-const SERVICE_TIME: Duration = Duration::from_millis(20);
+pub(crate) const SERVICE_TIME: Duration = Duration::from_millis(20);
 
 const LEAVING: Notice = Notice {
     is_leaving: true,
@@ -41,7 +41,7 @@
     }
 }
 
-fn entry(at: u16, started_ms: u64, seq: u64) -> Entry {
+pub(crate) fn entry(at: u16, started_ms: u64, seq: u64) -> Entry {
     Entry {
         name: format!("up-{at}").parse().unwrap(),
         service: "desk".parse().unwrap(),
@@ -55,25 +55,31 @@
     }
 }
 
-fn test_instance() -> TestInstance {
+pub(crate) fn test_instance() -> TestInstance {
     let service: ServiceName = "desk".parse().unwrap();
     let limits = Service {
         max_connections: 50,
     };
-    let route = Route {
-        name: "status".into(),
+    let route = |name: &str, prefix: &str, priority| Route {
+        name: name.into(),
         host: "search.example".into(),
-        prefix: "/".into(),
+        prefix: prefix.into(),
         idempotent: true,
         timeout: TIME_LEFT,
         objective: Duration::from_millis(500),
-        priority: 1,
+        priority,
         max_attempts: 2,
         target: Target::One(service.clone()),
     };
-    let services = HashMap::from([(service, limits)]);
-    let config = Config::new(1, vec![route], services, Limits::default());
-    let mut instance = TestInstance::new(Settings::default(), TIME_LEFT);
+    let routes = vec![route("status", "/", 2), route("urgent", "/urgent/", 1)];
+    let services = HashMap::from([(service.clone(), limits)]);
+    let config = Config::new(1, routes, services, Limits::default());
+    let settings = Settings {
+        instance: "only".into(),
+        data_centre: "here".into(),
+        ..Settings::default()
+    };
+    let mut instance = TestInstance::new(settings, TIME_LEFT);
     instance.on(Event::Config(Rc::new(config)));
     instance.on(Event::EntriesListed(entries(1)));
     instance
@@ -105,7 +111,7 @@
     received
 }
 
-fn refusal(effects: &[Effect<Sim>]) -> Option<(Refusal, Duration)> {
+pub(crate) fn refusal(effects: &[Effect<Sim>]) -> Option<(Refusal, Duration)> {
     effects.iter().find_map(|effect| match effect {
         Effect::Answer(_, Answer::Refused(why, after)) => Some((*why, *after)),
         _ => None,
