rig, edge tests, soak: upstreams that name a limit

Cause: neither the stand-ins nor the soak had an upstream that names a limit. Change: a behaviour of the stand-in upstreams, the platform's bound as a check, a test of three instances as processes, and in the soak one upstream with a limit for most of each run; the other faults of a seed stay as they were. The check of the soak is left out where an instance or the path to the upstream is disturbed.

--- a/crates/briarcove/tests/main.rs
+++ b/crates/briarcove/tests/main.rs
@@ -10,6 +10,7 @@
 mod drill;
 mod edge;
 mod floods;
+mod limits;
 mod malformed;
 mod peers;
 mod processes;
--- a/crates/rig/src/edge/upstream.rs
+++ b/crates/rig/src/edge/upstream.rs
@@ -54,6 +54,8 @@
     Leaves,
     /// Replies 503 with `x-not-executed`, without running the request, and asks for a pause.
     Pauses(Duration),
+    /// Replies, and names a limit in requests a second.
+    Limits(u32),
 }
 
 impl Behaviour {
@@ -282,6 +284,12 @@
                 }
                 Ok(reply)
             }
+            Behaviour::Limits(rate) => {
+                let mut reply = signed_reply(StatusCode::OK, &id, number);
+                let rate = HeaderValue::from(rate);
+                reply.headers_mut().insert("server-limit", rate);
+                Ok(reply)
+            }
             Behaviour::Breaks => Err(Abort),
             Behaviour::Fails => Ok(signed_reply(StatusCode::INTERNAL_SERVER_ERROR, &id, number)),
             Behaviour::Crosses => Ok(signed_reply(StatusCode::OK, "another", number)),
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -162,11 +162,15 @@
         outcomes: &outcomes,
         arrivals: &arrivals,
         outages: &deployment.outages,
+        disturbed: &deployment.disturbed,
         shards: SHARDS.len(),
         min_parts: (SHARDS.len() as f64 * MIN_COVERAGE).ceil() as usize,
     };
     violations.extend(check::check(&recording));
     violations.extend(announced::check(&recording));
+    if !options.with_crashes {
+        violations.extend(announced::check_limits(&recording));
+    }
     violations.extend(crashing::check(&recording, &deployment.logs()?));
     let is_served = |outcome: &&callers::Outcome| {
         let answer = outcome.answer.as_ref();
--- a/crates/rig/src/soak/announced.rs
+++ b/crates/rig/src/soak/announced.rs
@@ -1,12 +1,15 @@
 //! Checks that instances respect what upstreams announce in their replies.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::HashMap,
+    time::{Duration, Instant},
+};
 
 use super::{
     callers::{Kind, Outcome},
     check::Recording,
 };
-use crate::edge::{Arrival, Behaviour};
+use crate::edge::{Arrival, Behaviour, check_limit};
 
 /// Time after an instance has passed on that an upstream leaves, until it may send it no request
 /// that a caller sent later.
@@ -18,6 +21,27 @@
 /// Maximum number of requests of one instance in the rest of a pause.
 const MAX_PAUSED_ARRIVALS: usize = 2;
 
+/// Returns a description of each limit of an upstream that was exceeded. Which instance has sent a
+/// part is not known, so an outage of any of them excuses all.
+pub(super) fn check_limits(recording: &Recording<'_>) -> Vec<String> {
+    let mut incarnations: HashMap<_, Vec<&Arrival>> = HashMap::new();
+    for arrival in recording.arrivals {
+        let arrivals = incarnations.entry(&arrival.incarnation).or_default();
+        arrivals.push(arrival);
+    }
+    let check = |((upstream, _), mut arrivals): (&(String, u64), Vec<&Arrival>)| {
+        arrivals.sort_by_key(|arrival| arrival.at);
+        check_limit(&arrivals, |from: Instant, to: Instant| {
+            let mut outages = recording.outages.iter();
+            let mut disturbed = recording.disturbed.iter();
+            outages.any(|it| it.from < to && it.to.is_none_or(|end| end > from))
+                || disturbed
+                    .any(|(name, start, end)| name == upstream && *start < to && *end > from)
+        })
+    };
+    incarnations.into_iter().filter_map(check).collect()
+}
+
 /// Returns a description of each violation. Searches are left out, as another instance than the one
 /// that received them may have sent their parts.
 pub(super) fn check(recording: &Recording<'_>) -> Vec<String> {
--- a/crates/rig/src/soak/check.rs
+++ b/crates/rig/src/soak/check.rs
@@ -50,6 +50,8 @@
     pub(super) arrivals: &'a [Arrival],
     /// Outages of instances.
     pub(super) outages: &'a [Outage],
+    /// Upstreams whose network path was disturbed, with the times from and until when.
+    pub(super) disturbed: &'a [(String, Instant, Instant)],
     /// Number of shards of a search.
     pub(super) shards: usize,
     /// Minimum number of parts of a successful answer to a search.
--- a/crates/rig/src/soak/deployment.rs
+++ b/crates/rig/src/soak/deployment.rs
@@ -82,6 +82,8 @@
     ends: Option<Ends>,
     /// Upstreams that have ended.
     ended: Vec<Ended>,
+    /// Upstreams whose behaviour or network path changed, with the times from and until when.
+    pub(super) disturbed: Vec<(String, Instant, Instant)>,
     /// Faults that are still to be reverted, the earliest first.
     pending_reverts: BinaryHeap<Revert>,
 }
@@ -144,6 +146,7 @@
             unexpected_exits: Vec::new(),
             ends,
             ended: Vec::new(),
+            disturbed: Vec::new(),
             pending_reverts: BinaryHeap::new(),
         };
         let replicas = match deployment.ends {
@@ -194,6 +197,7 @@
             self.revert_until(start + planned.at)?;
             self.inject(planned.fault)?;
             let at = Instant::now() + planned.duration;
+            self.note_disturbed(planned.fault, at);
             self.pending_reverts.push(Revert {
                 at,
                 fault: planned.fault,
@@ -205,6 +209,14 @@
         Ok(())
     }
 
+    /// Notes which upstream a fault disturbs, until a time.
+    fn note_disturbed(&mut self, fault: Fault, until: Instant) {
+        if let Fault::UpstreamWay(at, _) | Fault::ResetUpstream(at) = fault {
+            let upstream = self.upstreams[at % self.upstreams.len()].name();
+            self.disturbed.push((upstream, Instant::now(), until));
+        }
+    }
+
     /// Waits until a time and reverts the faults that end before it.
     fn revert_until(&mut self, until: Instant) -> io::Result<()> {
         while let Some(revert) = self
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -68,10 +68,14 @@
 /// Number mixed into the seed for the faults of [`announced_faults`].
 const SEED_MIX: u64 = 0x0a11_0e5a;
 
+/// Number mixed into the seed for [`limited_upstream`].
+const LIMIT_SEED_MIX: u64 = 0x11a1_7ed5;
+
 /// Generates the faults of a seed, in order of their start.
 pub fn plan(seed: u64, length: Duration) -> Vec<ScheduledFault> {
     let mut planned = drawn_faults(seed, length);
     planned.extend(announced_faults(seed, length));
+    planned.push(limited_upstream(seed, length));
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -110,6 +114,18 @@
     planned
 }
 
+/// Draws an upstream that names a limit for most of the run, long enough for the limit to have to
+/// hold, with draws of its own.
+fn limited_upstream(seed: u64, length: Duration) -> ScheduledFault {
+    let mut rng = SmallRng::seed_from_u64(seed ^ LIMIT_SEED_MIX);
+    let limits = Behaviour::Limits(rng.random_range(3..20));
+    ScheduledFault {
+        at: length.mul_f64(rng.random_range(0.02..0.25)),
+        duration: length.mul_f64(0.7),
+        fault: Fault::Behave(rng.random_range(0..64), limits),
+    }
+}
+
 fn drawn_faults(seed: u64, length: Duration) -> Vec<ScheduledFault> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut planned = Vec::new();
