edge: log and count requests of other instances that are declined

Cause: a request that another instance hands over and that is declined leaves no trace at the instance that declines it, so logs cannot show what becomes of requests of instances that are cut off. Change: a log line and a metric with the reason. No decision changes.

--- a/crates/briarcove/src/edge/metrics.rs
+++ b/crates/briarcove/src/edge/metrics.rs
@@ -26,6 +26,7 @@
     cancelled_attempts: IntCounter,
     limited_attempts: IntCounter,
     handed_over: IntCounterVec,
+    declined: IntCounterVec,
     upstream_connections: IntCounter,
     connections_refused: IntCounter,
     store_calls: IntCounterVec,
@@ -86,6 +87,11 @@
                 "Attempts at upstreams that name a limit, counted every four seconds",
             ),
             handed_over: counters("handed_over", "Searches run by other instances", &["end"]),
+            declined: counters(
+                "declined",
+                "Requests of other instances that were declined",
+                &["reason"],
+            ),
             upstream_connections: counter("upstream_connections", "Connections opened"),
             connections_refused: counter("refused_connections", "Connections of callers closed"),
             store_calls: counters("store_calls", "Calls to the store", &["call", "result"]),
@@ -122,6 +128,9 @@
             Note::UpstreamDraining(..) => "draining",
             Note::UpstreamLeaving(..) => "announced_leaving",
             Note::UpstreamPaused(..) => "announced_pause",
+            Note::Declined(why) => {
+                return self.declined.with_label_values(&[why.name()]).inc();
+            }
             Note::UpstreamLimited(..) => "announced_limit",
             Note::LimitEnded(..) => "limit_ended",
             Note::LimitedUpstreamLoad(_, load, _) => {
--- a/crates/briarcove/src/edge/note_log.rs
+++ b/crates/briarcove/src/edge/note_log.rs
@@ -80,6 +80,13 @@
                     self.dropped.set(self.dropped.get() + 1);
                 }
             }
+            Note::Declined(why) => {
+                if self.is_within_rate(now) {
+                    info!(self.log, "request of another instance declined"; "reason" => why.name());
+                } else {
+                    self.dropped.set(self.dropped.get() + 1);
+                }
+            }
             Note::UpstreamLimited(name, rate) => {
                 if self.is_within_rate(now) {
                     info!(self.log, "upstream names a limit on requests from all instances";
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -190,6 +190,28 @@
     }
 }
 
+/// Why this instance declined a request that another one handed over.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum DeclineReason {
+    /// It is draining, cut off or reaches too few shards.
+    OutOfService,
+    /// It does not have the version of the configuration.
+    UnknownConfig,
+    /// The configuration has no such shard.
+    UnknownShard,
+}
+
+impl DeclineReason {
+    /// Returns the name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::OutOfService => "out_of_service",
+            Self::UnknownConfig => "unknown_config",
+            Self::UnknownShard => "unknown_shard",
+        }
+    }
+}
+
 /// Why a request that may have run failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Fault {
@@ -286,6 +308,8 @@
     UpstreamLeaving(UpstreamName),
     /// An upstream has announced in a reply that it accepts no requests for a time.
     UpstreamPaused(UpstreamName, Duration),
+    /// A request of another instance was declined.
+    Declined(DeclineReason),
     /// An upstream names a limit in its replies, or another one than before.
     UpstreamLimited(UpstreamName, RequestRate),
     /// What this instance has sent, within a time, to an upstream that names a limit.
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -11,7 +11,7 @@
     call::{Call, Part, PartState},
     completion,
     config::{Config, Route, Target},
-    effect::{Answer, Effect, Fault, Refusal},
+    effect::{Answer, DeclineReason, Effect, Fault, Note, Refusal},
     event::{BranchHead, Head, Origin, Protocol},
     placement::{self, Candidate},
     timers::Due,
@@ -38,12 +38,11 @@
     ) {
         let is_from_instance = head.origin != Origin::Caller;
         if is_from_instance && self.is_out_of_service() {
-            effects.push(Effect::Answer(id, Answer::Declined));
-            return;
+            return decline(id, DeclineReason::OutOfService, effects);
         }
         let Some(config) = self.config_for(&head) else {
             if is_from_instance {
-                effects.push(Effect::Answer(id, Answer::Declined));
+                decline(id, DeclineReason::UnknownConfig, effects);
             } else {
                 self.refuse_unrouted(id, &head, Refusal::NotReady, effects);
             }
@@ -65,8 +64,7 @@
             .map_or(Duration::ZERO, |left| route.timeout.saturating_sub(left));
         let (services, min_parts) = self.services(&name, route);
         let Some((services, min_parts)) = select(services, min_parts, head.branch.as_ref()) else {
-            effects.push(Effect::Answer(id, Answer::Declined));
-            return;
+            return decline(id, DeclineReason::UnknownShard, effects);
         };
         let (was_refused, may_have_run) = match head.origin {
             Origin::Caller => (elapsed >= MIN_RETURN_ELAPSED, false),
@@ -357,6 +355,12 @@
     }
 }
 
+/// Declines a request that another instance handed over; nothing has run.
+fn decline<C: Protocol>(id: CallId, why: DeclineReason, effects: &mut Vec<Effect<C>>) {
+    effects.push(Effect::Note(Note::Declined(why)));
+    effects.push(Effect::Answer(id, Answer::Declined));
+}
+
 /// Returns the shards of a search that this instance queries, and the minimum that have to reply;
 /// `None` if a branch names a shard that does not exist.
 fn select(
