--- a/crates/tier/tests/main.rs
+++ b/crates/tier/tests/main.rs
@@ -4,6 +4,7 @@
 
 mod branch;
 mod crashing;
+mod cut_off;
 mod decisions;
 mod handover;
 mod instance;
--- a/crates/tier/tests/simulation.rs
+++ b/crates/tier/tests/simulation.rs
@@ -65,6 +65,8 @@
     /// A refused caller returns; with the time of its first request.
     Return(usize, Time),
     Arrive(usize, AttemptKey, usize),
+    /// An instance fails to open a connection.
+    ConnectFailed(usize, AttemptKey),
     Done(usize, usize, AttemptKey),
     Pause(usize, Duration),
     Resume(usize),
@@ -75,6 +77,18 @@
     HandOverResult(usize, CallId),
 }
 
+/// How an instance is cut off from all upstreams.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Cut {
+    /// Connections get no answer.
+    Hangs,
+    /// Connections are refused.
+    Refuses,
+}
+
+/// Time after which an instance gives up opening a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// Idle time for which connections are kept open.
 const CONNECTION_KEPT: Duration = Duration::from_secs(3);
 
@@ -107,6 +121,10 @@
     used: HashMap<(usize, usize), Time>,
     /// Whether each instance is paused.
     paused_instances: Vec<bool>,
+    /// How each instance is cut off from the upstreams, if it is.
+    pub(crate) cuts: Vec<Option<Cut>>,
+    /// First requests of callers at each instance in the current run, and those that were answered.
+    pub(crate) first_tries: Vec<(u32, u32)>,
     /// Sources of the searches that were handed over, by the running instance and its call.
     handover_sources: HashMap<(usize, CallId), HandOverSource>,
     /// Outcomes of handovers in transit, by the sending instance and its call.
@@ -127,6 +145,7 @@
     /// Sends `rate` searches per second for a time and returns their results.
     pub(crate) fn run(&mut self, rate: f64, time: Duration) -> Tally {
         self.tally = Tally::default();
+        self.first_tries = vec![(0, 0); self.tiers.len()];
         let mut at = self.now;
         let end = self.now + time;
         while at < end {
@@ -193,6 +212,10 @@
             Step::Arrive(instance, attempt, upstream) => {
                 self.arrive(instance, attempt, upstream);
             }
+            Step::ConnectFailed(instance, attempt) => {
+                let outcome = Outcome::Failed(Failure::Unreachable);
+                self.deliver(instance, Event::AttemptEnded(attempt, outcome));
+            }
             Step::Done(upstream, instance, attempt) => self.done(upstream, instance, attempt),
             Step::Pause(upstream, time) => self.pause(upstream, time),
             Step::Resume(upstream) => self.start_queued(upstream),
@@ -262,10 +285,10 @@
             }
             Effect::Probe(key, address) => {
                 let it = &self.upstreams[usize::from(address.port())];
-                let result = match (it.is_partitioned, it.is_down) {
-                    (true, _) => ProbeResult::Unanswered,
-                    (false, true) => ProbeResult::Refused,
-                    (false, false) => ProbeResult::Accepted,
+                let result = match (self.cuts[instance], it.is_partitioned, it.is_down) {
+                    (Some(Cut::Hangs), ..) | (_, true, _) => ProbeResult::Unanswered,
+                    (Some(Cut::Refuses), ..) | (_, _, true) => ProbeResult::Refused,
+                    (None, false, false) => ProbeResult::Accepted,
                 };
                 self.deliver(instance, Event::Probed(key, result));
             }
@@ -331,6 +354,11 @@
             .calls
             .remove(&(instance, id))
             .expect("each call is answered once");
+        if caller.first == caller.asked {
+            let (asked, answered) = &mut self.first_tries[instance];
+            *asked += 1;
+            *answered += u32::from(matches!(result, SearchResult::Covered(_)));
+        }
         let (now, objective) = (self.now, self.objective);
         self.tally.count(now, objective, caller, result);
         if self.callers_return
@@ -343,6 +371,14 @@
     }
 
     fn arrive(&mut self, instance: usize, attempt: AttemptKey, upstream: usize) {
+        let connect_failed = match self.cuts[instance] {
+            None => None,
+            Some(Cut::Hangs) => Some(CONNECT_TIMEOUT),
+            Some(Cut::Refuses) => Some(NETWORK_DELAY),
+        };
+        if let Some(after) = connect_failed {
+            return self.schedule(self.now + after, Step::ConnectFailed(instance, attempt));
+        }
         let it = &mut self.upstreams[upstream];
         if it.is_down {
             let outcome = Outcome::Failed(Failure::Unreachable);
--- a/crates/tier/tests/simulation/build.rs
+++ b/crates/tier/tests/simulation/build.rs
@@ -123,6 +123,8 @@
             },
             cpu_shares: (0..setup.instances).map(|i| setup.cpu_share(i)).collect(),
             paused_instances: vec![false; setup.instances],
+            cuts: vec![None; setup.instances],
+            first_tries: vec![(0, 0); setup.instances],
             used: HashMap::new(),
             handover_sources: HashMap::new(),
             handover_outcomes: HashMap::new(),
