tier: failed connections of single services count as a sign of a cut-off

An instance without searches never noticed that it is cut off: only parts that were silent at the soft deadline of a search, or broken off later, counted, and requests to one service have neither. Cause: failed connections ejected the upstream and counted for nothing else. Change: they count for requests to a single service; with fewer than five known upstreams, all of them have to fail. Figures: an_instance_is_not_ready_when_none_of_its_connections_opens fails without the change.

--- a/crates/tier/src/reachability.rs
+++ b/crates/tier/src/reachability.rs
@@ -3,7 +3,7 @@
 //! Load pattern: a data centre is cut off from the upstreams while callers still reach it. Each
 //! request would wait for its deadline and fail, although instances elsewhere could serve it. An
 //! instance whose requests all fail, or that reaches too few shards of an index, reports that it is
-//! not ready, refuses requests at once, and probes upstreams until they reply.
+//! not ready, hands requests over to other instances, and probes upstreams until they reply.
 
 use std::time::Duration;
 
@@ -11,7 +11,8 @@
 
 use crate::upstream::UpstreamKey;
 
-/// Number of different upstreams that have to fail, without a reply from any, for a cut-off.
+/// Number of different upstreams that have to fail, without a reply from any, for a cut-off; all of
+/// them if fewer are known.
 const MIN_FAILED_UPSTREAMS: usize = 5;
 
 /// Time without a reply from any upstream after which failures count as a cut-off.
@@ -33,6 +34,11 @@
     lacks_shards: bool,
 }
 
+/// Returns the number of upstreams that have to fail for a cut-off, of those that are known.
+fn failures_for_cut_off(known: usize) -> usize {
+    known.clamp(1, MIN_FAILED_UPSTREAMS)
+}
+
 impl Reachability {
     /// Records a reply of any kind; returns whether it ends a cut-off.
     pub fn record_reply(&mut self, now: Time) -> bool {
@@ -41,24 +47,27 @@
         std::mem::take(&mut self.is_cut_off)
     }
 
-    /// Records a request without a reply; returns the time for the next check for a cut-off, if one
-    /// is needed.
-    pub fn record_failure(&mut self, now: Time, upstream: UpstreamKey) -> Option<Time> {
-        if self.failed_upstreams.len() < MIN_FAILED_UPSTREAMS
-            && !self.failed_upstreams.contains(&upstream)
-        {
+    /// Records a request without a reply or connection; `known` is the number of known upstreams.
+    /// Returns the time for the next check for a cut-off, if one is needed.
+    pub fn record_failure(
+        &mut self,
+        now: Time,
+        upstream: UpstreamKey,
+        known: usize,
+    ) -> Option<Time> {
+        let needed = failures_for_cut_off(known);
+        if self.failed_upstreams.len() < needed && !self.failed_upstreams.contains(&upstream) {
             self.failed_upstreams.push(upstream);
-            return (self.failed_upstreams.len() == MIN_FAILED_UPSTREAMS)
-                .then_some(now + SILENCE_TIMEOUT);
+            return (self.failed_upstreams.len() == needed).then_some(now + SILENCE_TIMEOUT);
         }
         None
     }
 
-    /// Checks for a cut-off; returns whether one begins.
-    pub fn detect_cut_off(&mut self, now: Time) -> bool {
+    /// Checks for a cut-off; returns whether one begins. `known` is the number of known upstreams.
+    pub fn detect_cut_off(&mut self, now: Time, known: usize) -> bool {
         let is_silent = now.since(self.last_reply) >= SILENCE_TIMEOUT;
-        let begins =
-            !self.is_cut_off && is_silent && self.failed_upstreams.len() >= MIN_FAILED_UPSTREAMS;
+        let has_failed = self.failed_upstreams.len() >= failures_for_cut_off(known);
+        let begins = !self.is_cut_off && is_silent && has_failed;
         self.is_cut_off |= begins;
         begins
     }
--- a/crates/tier/src/tier/outcomes.rs
+++ b/crates/tier/src/tier/outcomes.rs
@@ -4,7 +4,7 @@
 
 use base::Time;
 
-use super::{Attempt, Tier};
+use super::{Attempt, Tier, calls::is_gather};
 use crate::{
     effect::{Effect, Note},
     event::{AttemptKey, Failure, Outcome, Protocol, Reply},
@@ -130,6 +130,12 @@
                 if self.suspicions.has(key) {
                     self.timers.set(now, Due::CheckSuspect(key));
                 }
+                // Searches count what is silent at their soft deadline; a refused search would
+                // look like silence here.
+                let call = self.calls.get(&attempt.call);
+                if call.is_some_and(|call| !is_gather(&call.config, call.route)) {
+                    self.on_upstream_silent(now, key);
+                }
             }
             _ => {}
         }
--- a/crates/tier/src/tier/updates.rs
+++ b/crates/tier/src/tier/updates.rs
@@ -224,7 +224,8 @@
     /// Records that an upstream did not reply; after enough of them in a row, a reachability check
     /// is scheduled.
     pub(super) fn on_upstream_silent(&mut self, now: Time, key: UpstreamKey) {
-        if let Some(check_at) = self.reachability.record_failure(now, key) {
+        let known = self.directory.len();
+        if let Some(check_at) = self.reachability.record_failure(now, key, known) {
             self.timers.set(check_at, Due::Probe);
         }
     }
@@ -232,7 +233,7 @@
     /// Checks whether the instance is cut off, and probes upstreams while it is or lacks shards.
     pub(super) fn on_probe_due(&mut self, effects: &mut Vec<Effect<C>>, now: Time) {
         self.is_probe_scheduled = false;
-        if self.reachability.detect_cut_off(now) {
+        if self.reachability.detect_cut_off(now, self.directory.len()) {
             effects.push(Effect::Note(Note::CutOff));
         }
         if self.reachability.is_cut_off() {
--- a/crates/tier/tests/instance.rs
+++ b/crates/tier/tests/instance.rs
@@ -32,6 +32,14 @@
         effects
     }
 
+    pub(crate) fn is_ready(&self) -> bool {
+        self.tier.is_ready()
+    }
+
+    pub(crate) fn pending_requests(&self) -> usize {
+        self.tier.pending_requests()
+    }
+
     pub(crate) fn after(&mut self, time: Duration) -> Vec<Effect<Sim>> {
         self.now = self.now + time;
         self.on(Event::Tick)
--- a/crates/tier/tests/notices.rs
+++ b/crates/tier/tests/notices.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    instance::TestInstance,
+    instance::{TestInstance, sent},
     simulation::{Sim, SimReply},
 };
 
@@ -195,3 +195,18 @@
     let (why, _) = refusal(&instance.call(2, Origin::Caller, None)).unwrap();
     assert_eq!(why, Refusal::NoUpstream);
 }
+
+/// An instance without searches, whose requests fail before any is sent.
+#[test]
+fn an_instance_is_not_ready_when_none_of_its_connections_opens() {
+    let mut instance = test_instance();
+    instance.after(Duration::from_secs(1));
+    assert!(instance.is_ready());
+    let mut effects = instance.call(0, Origin::Caller, None);
+    while let Some(attempt) = sent(&effects).first() {
+        let unreachable = Outcome::Failed(Failure::Unreachable);
+        effects = instance.on(Event::AttemptEnded(*attempt, unreachable));
+    }
+    instance.after(Duration::from_millis(700));
+    assert!(!instance.is_ready());
+}
