tier, edge: instances that are cut off hand requests over

Cause: an instance that does not reach the upstreams took its own failure for that of the service. Handovers were chosen for speed only, and for searches only. Change: a request of any kind goes to another instance while this one is cut off or lacks shards: to the least loaded of six partners, which differ for each instance; one that is cut off too declines within a round trip and is passed over for a while, as is its data centre as far as others are left. Up to six are asked. What was handed over is never handed on. A request that may run once goes on only while nothing can have run; its broken handover is a failure, not a refusal. Deadlines, withdrawals, confirmations and budgets are those of handed-over searches. The answer carries the departure and the limit that the upstream announces, so that the instance that passes it on knows them too.

--- a/crates/briarcove/src/edge/peers/incoming.rs
+++ b/crates/briarcove/src/edge/peers/incoming.rs
@@ -15,7 +15,9 @@
 use slog::{debug, warn};
 use socket2::Socket;
 use tier::{Answer, Event, Origin, crash::Crash, event::BranchHead};
-use wire::handover::{CrashReport, Departure, Done, HandOver, LimitedShard, Payload, Quarantined};
+use wire::handover::{
+    CrashReport, Departure, Done, HandOver, LimitedShard, NamedLimit, Payload, Quarantined,
+};
 
 use super::{channel::Channel, from_frame, to_frame};
 use crate::edge::shell::{PendingCall, Shell};
@@ -169,6 +171,7 @@
 /// Waits for the answer to a search and encodes it.
 async fn finish_search(call: u64, pending: PendingCall) -> Done {
     let (mut limited_shards, mut departures) = (Vec::new(), Vec::new());
+    let mut limit = None;
     let answer = match pending.answer().await {
         Some(Answer::Declined) | None => return declined(call),
         Some(answer) => {
@@ -187,6 +190,21 @@
                     share: shard.share as f32,
                 }));
             }
+            if let Answer::Reply(reply) = &answer
+                && let Some((upstream, started_ms, notice)) = reply.announcement()
+            {
+                let upstream = upstream.to_string();
+                limit = notice.limit.map(|rate| NamedLimit {
+                    upstream: upstream.clone(),
+                    started_ms,
+                    per_second: rate.per_second(),
+                });
+                let departure = Departure {
+                    upstream,
+                    started_ms,
+                };
+                departures.extend(notice.is_leaving.then_some(departure));
+            }
             answer::to_response(answer)
         }
     };
@@ -202,6 +220,7 @@
         body,
         limited_shards,
         departures,
+        limit,
     }
 }
 
--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -15,9 +15,10 @@
 use slog::{debug, warn};
 use socket2::Socket;
 use tier::{
-    Event, HandOverOutcome, Instance, LimitedShard, crash::Crash, effect::HandOver, notice::Notice,
+    Event, HandOverOutcome, Instance, LimitedShard, crash::Crash, effect::HandOver,
+    limit::RequestRate, notice::Notice,
 };
-use wire::handover::{self, Branch, CrashReport, Departure, Done, Follow, Frame, Payload};
+use wire::handover::{self, Branch, CrashReport, Done, Follow, Frame, Payload};
 
 use super::{channel::Channel, from_frame, to_frame};
 use crate::edge::shell::Shell;
@@ -244,7 +245,18 @@
                         shell.dispatch(Event::LimitedShards(call, limited_shards));
                     }
                     for departure in &done.departures {
-                        report_departure(shell, departure);
+                        let notice = Notice {
+                            is_leaving: true,
+                            ..Notice::default()
+                        };
+                        report_notice(shell, &departure.upstream, departure.started_ms, notice);
+                    }
+                    if let Some(limit) = &done.limit {
+                        let notice = Notice {
+                            limit: RequestRate::new(limit.per_second),
+                            ..Notice::default()
+                        };
+                        report_notice(shell, &limit.upstream, limit.started_ms, notice);
                     }
                     let outcome = read_outcome(done);
                     shell.metrics.count_hand_over(&outcome);
@@ -279,18 +291,12 @@
     (done.status != 0).then(|| limited_shards.collect())
 }
 
-/// Reports to the reducer that an upstream has announced to another instance that it leaves.
-fn report_departure(shell: &Rc<Shell>, departure: &Departure) {
-    let notice = Notice {
-        is_leaving: true,
-        ..Notice::default()
-    };
-    match departure.upstream.parse() {
-        Ok(name) => {
-            let event = Event::UpstreamNotice(name, departure.started_ms, notice);
-            shell.dispatch(event);
-        }
-        Err(e) => warn!(shell.log, "ignoring an invalid upstream that leaves"; "error" => %e),
+/// Reports to the reducer what an upstream has announced to another instance.
+fn report_notice(shell: &Rc<Shell>, upstream: &str, started_ms: u64, notice: Notice) {
+    match upstream.parse() {
+        Ok(name) => shell.dispatch(Event::UpstreamNotice(name, started_ms, notice)),
+        Err(e) => warn!(shell.log, "ignoring an announcement of an invalid upstream";
+            "error" => %e),
     }
 }
 
--- a/crates/briarcove/src/edge/upstreams.rs
+++ b/crates/briarcove/src/edge/upstreams.rs
@@ -180,7 +180,10 @@
         Ok(reply) => {
             let idle = keep_alive(reply.headers()).unwrap_or(DEFAULT_IDLE_TIME);
             report_notice(shell, &send, &reply);
-            let outcome = UpstreamReply::read(&send.request, reply);
+            let mut outcome = UpstreamReply::read(&send.request, reply);
+            if let Outcome::Reply(reply) = &mut outcome {
+                reply.set_source(send.name.clone(), send.started_ms);
+            }
             let is_healthy = !matches!(outcome, Outcome::Failed(Failure::Malformed));
             if is_healthy && !link.is_closed() {
                 let idle = idle.saturating_sub(IDLE_TIME_MARGIN);
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -8,6 +8,7 @@
 mod handovers;
 mod limits;
 mod outcomes;
+mod relays;
 mod updates;
 
 use std::{
--- a/crates/tier/src/tier/answers.rs
+++ b/crates/tier/src/tier/answers.rs
@@ -85,7 +85,9 @@
         self.withdraw(id, &call, effects);
         self.abandon_all(now, &call);
         if !may_run {
-            self.refuse(now, id, &mut call, Refusal::TurnedAway, effects);
+            if let Some(mut call) = self.relay(now, id, call, effects) {
+                self.refuse(now, id, &mut call, Refusal::TurnedAway, effects);
+            }
             return;
         }
         self.note_call_ended(now, &mut call, fault.name(), false, effects);
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -148,14 +148,7 @@
             }
             return;
         }
-        let Some(mut call) = self.hand_over(now, id, call, effects) else {
-            return;
-        };
-        if self.reachability.is_cut_off() {
-            self.refuse(now, id, &mut call, Refusal::CutOff, effects);
-            return;
-        }
-        self.run_locally(now, id, call, effects);
+        self.dispatch(now, id, call, effects);
     }
 
     /// Decides about the admission of a call and sends the first attempts of its parts; `allowed`
@@ -219,7 +212,9 @@
             Admission::Overloaded => self.refuse(now, id, &mut call, Refusal::Overload, effects),
             Admission::Down => {
                 self.check_shard_reachability(now, effects);
-                self.refuse(now, id, &mut call, Refusal::NoUpstream, effects);
+                if let Some(mut call) = self.relay(now, id, call, effects) {
+                    self.refuse(now, id, &mut call, Refusal::NoUpstream, effects);
+                }
             }
         }
     }
--- a/crates/tier/src/tier/handovers.rs
+++ b/crates/tier/src/tier/handovers.rs
@@ -1,4 +1,4 @@
-//! Handovers: searches that another instance runs on behalf of this one.
+//! Handovers: requests that another instance runs on behalf of this one.
 
 use std::{rc::Rc, time::Duration};
 
@@ -10,7 +10,7 @@
     config::Config,
     effect::{Answer, Effect, HandOver, Note, Refusal},
     event::{HandOverOutcome, Head, Origin, Protocol, Reply},
-    handover::LocalInstance,
+    handover::{Instance, LocalInstance},
     timers::Due,
 };
 
@@ -44,7 +44,7 @@
         &mut self,
         now: Time,
         id: CallId,
-        mut call: Call<C>,
+        call: Call<C>,
         effects: &mut Vec<Effect<C>>,
     ) -> Option<Call<C>> {
         let is_from_caller = call.head.origin == Origin::Caller;
@@ -83,10 +83,26 @@
         let Some(chosen) = chosen.cloned() else {
             return Some(call);
         };
+        self.hand_to(now, id, call, chosen, effects);
+        None
+    }
+
+    /// Hands a call over to an instance.
+    pub(super) fn hand_to(
+        &mut self,
+        now: Time,
+        id: CallId,
+        mut call: Call<C>,
+        chosen: Instance,
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        let route = call.config.route(call.route);
         self.instances.add_pending(&chosen.name);
-        self.timers
-            .set(now + accept_timeout(objective), Due::Silent(id));
-        self.timers.set(call.soft_deadline, Due::Overdue(id));
+        if route.idempotent {
+            let silent = now + accept_timeout(route.objective);
+            self.timers.set(silent, Due::Silent(id));
+            self.timers.set(call.soft_deadline, Due::Overdue(id));
+        }
         self.timers.set(call.deadline, Due::Deadline(id));
         effects.push(Effect::HandOver(HandOver {
             call: id,
@@ -105,7 +121,6 @@
         call.via = Some(chosen.name.clone());
         call.handed_to = Some(chosen.name);
         self.calls.insert(id, call);
-        None
     }
 
     /// Handles the outcome of a search or branch that was handed over.
@@ -143,7 +158,8 @@
             }
             HandOverOutcome::Broken => {
                 let may_have_begun = self.calls.get(&id).is_some_and(|call| {
-                    self.instances.is_alive_since(&to, call.handed_at)
+                    !call.config.route(call.route).idempotent
+                        || self.instances.is_alive_since(&to, call.handed_at)
                         || call.may_have_run_elsewhere
                 });
                 self.eject_instance(now, to, effects);
@@ -265,9 +281,7 @@
         {
             return self.refuse(now, id, &mut call, Refusal::Quarantined, effects);
         }
-        if let Some(call) = self.hand_over(now, id, call, effects) {
-            self.run_locally(now, id, call, effects);
-        }
+        self.dispatch(now, id, call, effects);
     }
 
     /// Runs a call on this instance. If it may have run before, each of its parts counts as a
--- a/crates/tier/src/tier/limits.rs
+++ b/crates/tier/src/tier/limits.rs
@@ -4,7 +4,6 @@
 
 use super::Tier;
 use crate::{
-    config::Search,
     effect::{Effect, Note},
     event::Protocol,
     limit::{Limit, RequestRate},
@@ -48,12 +47,10 @@
             };
             let runs = match search {
                 None => 1.0,
-                Some(Search { parts, objective }) => {
-                    match self.instances.hands_over(own, cpu_share, parts, objective) {
-                        true => cpu_share * OTHERS_SHARE,
-                        false => cpu_share,
-                    }
+                Some(search) if self.instances.hands_over(cpu_share, search) => {
+                    cpu_share * OTHERS_SHARE
                 }
+                Some(_) => cpu_share,
             };
             preferred * runs
         };
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -280,6 +280,23 @@
     /// Upstreams that have announced in their replies to the search that they leave.
     #[prost(message, repeated, tag = "6")]
     pub departures: Vec<Departure>,
+    /// The limit that the upstream names whose reply this answer is.
+    #[prost(message, optional, tag = "7")]
+    pub limit: Option<NamedLimit>,
+}
+
+/// The limit that an upstream names.
+#[derive(Clone, PartialEq, Message)]
+pub struct NamedLimit {
+    /// Name of the upstream.
+    #[prost(string, tag = "1")]
+    pub upstream: String,
+    /// Its start as Unix time, in milliseconds.
+    #[prost(uint64, tag = "2")]
+    pub started_ms: u64,
+    /// Requests a second that it takes from all instances together.
+    #[prost(double, tag = "3")]
+    pub per_second: f64,
 }
 
 /// An upstream that leaves.
