tier: broken connections count as a sign of a cut-off

What was seen: in a run of three processes whose connections are accepted and reset, desk requests went on failing with broken for seconds; only parts that were silent at a soft deadline, and failed connections, counted. Change: a connection that breaks before the reply counts too, like a failed one. A reply of any upstream clears all of it, as before. Figures: an_instance_is_not_ready_when_all_its_connections_break fails without the change. The simulation of searches passes either way, as these notice that they lack shards.

--- a/crates/tier/src/tier/outcomes.rs
+++ b/crates/tier/src/tier/outcomes.rs
@@ -123,7 +123,10 @@
             )));
         }
         match failure {
-            Failure::Broken => self.suspect(now, attempt, true, effects),
+            Failure::Broken => {
+                self.suspect(now, attempt, true, effects);
+                self.on_upstream_silent(now, key);
+            }
             Failure::Unreachable => {
                 upstream.down_at = Some(now);
                 effects.push(Effect::CloseIdle(key));
--- a/crates/tier/tests/notices.rs
+++ b/crates/tier/tests/notices.rs
@@ -59,6 +59,7 @@
     let service: ServiceName = "desk".parse().unwrap();
     let limits = Service {
         max_connections: 50,
+        ..Service::default()
     };
     let route = |name: &str, prefix: &str, priority| Route {
         name: name.into(),
@@ -199,13 +200,22 @@
 /// An instance without searches, whose requests fail before any is sent.
 #[test]
 fn an_instance_is_not_ready_when_none_of_its_connections_opens() {
+    assert_not_ready_after(Failure::Unreachable);
+}
+
+/// The same with connections that are accepted, and reset once a request was sent.
+#[test]
+fn an_instance_is_not_ready_when_all_its_connections_break() {
+    assert_not_ready_after(Failure::Broken);
+}
+
+fn assert_not_ready_after(failure: Failure) {
     let mut instance = test_instance();
     instance.after(Duration::from_secs(1));
     assert!(instance.is_ready());
     let mut effects = instance.call(0, Origin::Caller, None);
     while let Some(attempt) = sent(&effects).first() {
-        let unreachable = Outcome::Failed(Failure::Unreachable);
-        effects = instance.on(Event::AttemptEnded(*attempt, unreachable));
+        effects = instance.on(Event::AttemptEnded(*attempt, Outcome::Failed(failure)));
     }
     instance.after(Duration::from_millis(700));
     assert!(!instance.is_ready());
