tier, edge: a cut-off ends with a reply, not with an accepted connection

What was seen: three processes, two of them cut off by the proxies of the soak, which accept connections and forward nothing: 27 of 123 requests served at these, 382 of 384 at the other. The log says 'no upstream replies' and, 3 ms later, 'upstreams reply again', each second anew. With connections that are accepted and reset: 262 of 410 and 811 of 821; there the probes for upstreams that may have crashed ended the cut-off. Cause: what starts a cut-off is the lack of replies, what ended it was a connection that opened, of whichever probe. Whatever stands in front of an upstream may accept connections that lead nowhere. Change: a cut-off instance asks the health path of a random upstream, and those that fail if it lacks shards; a reply of any status counts. Probes of upstreams that may have crashed are events of their own and say nothing of reachability.

--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -227,6 +227,9 @@
             Effect::Ping(name) => self.peers.ping(&name),
             Effect::Forget(upstream) => self.pools.forget(upstream),
             Effect::CloseIdle(upstream) => self.pools.close_idle(upstream),
+            Effect::CheckReply(check) => {
+                spawn(super::upstreams::check_reply(Rc::clone(self), check)).detach();
+            }
             Effect::Probe(upstream, address) => {
                 let shell = Rc::clone(self);
                 spawn(super::upstreams::probe_upstream(shell, upstream, address)).detach();
--- a/crates/briarcove/src/edge/upstreams.rs
+++ b/crates/briarcove/src/edge/upstreams.rs
@@ -12,19 +12,29 @@
 use bytes::Bytes;
 use compio::time::timeout;
 use futures_channel::oneshot;
-use http::Response;
+use http::{Request, Response, header};
+use http_body_util::Full;
 use pipe::{ClientConnection, ExchangeError, Keepalive};
 use platform::{
     CallerRequest, UpstreamReply,
     reply::{self, keep_alive},
 };
-use tier::{Event, Failure, Outcome, UpstreamKey, crash::suspicion::ProbeResult};
+use tier::{
+    Event, Failure, Outcome, UpstreamKey, crash::suspicion::ProbeResult, effect::ReplyCheck,
+};
 
 use super::shell::Shell;
 
 /// Maximum size of an upstream's reply, in bytes.
 const MAX_REPLY_BYTES: usize = 8 << 20;
 
+/// Time in which an upstream has to reply to a health check. Upstreams pause for up to a quarter of a
+/// second.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Maximum size of the reply to a health check, in bytes.
+const MAX_CHECK_REPLY_BYTES: usize = 64 << 10;
+
 /// Time for which an idle connection is kept when the upstream sends no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIME: Duration = Duration::from_secs(4);
 
@@ -253,11 +263,42 @@
     let wait = tier::reachability::PROBE_INTERVAL;
     let opened =
         ClientConnection::open(address, wait, Keepalive::Disabled, shell.buf.clone()).await;
-    let result = match opened {
-        Ok(_) => ProbeResult::Accepted,
-        Err(e) if e.kind() == io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
-        Err(e) if is_out_of_resources(&e) => ProbeResult::Unsent,
+    let result = opened.map_or_else(|e| failed_probe(&e), |_| ProbeResult::Accepted);
+    shell.dispatch(Event::Probed(upstream, result));
+}
+
+/// Returns the result of a probe whose connection failed.
+fn failed_probe(e: &io::Error) -> ProbeResult {
+    match e.kind() {
+        io::ErrorKind::ConnectionRefused => ProbeResult::Refused,
+        _ if is_out_of_resources(e) => ProbeResult::Unsent,
+        _ => ProbeResult::Unanswered,
+    }
+}
+
+/// Checks whether an upstream replies to a health check, with whatever status.
+pub(super) async fn check_reply(shell: Rc<Shell>, check: ReplyCheck) {
+    let exchange = async {
+        let mut link = ClientConnection::open(
+            check.address,
+            CHECK_TIMEOUT,
+            Keepalive::Disabled,
+            shell.buf.clone(),
+        )
+        .await
+        .map_err(|e| failed_probe(&e))?;
+        let request = Request::get(&*check.path)
+            .header(header::HOST, check.address.to_string())
+            .body(Full::default())
+            // A path that is no path can't be asked for; the connection has to do.
+            .map_err(|_| ProbeResult::Accepted)?;
+        let replied = link.exchange(request, MAX_CHECK_REPLY_BYTES).await;
+        replied.map_err(|_| ProbeResult::Unanswered)
+    };
+    let result = match timeout(CHECK_TIMEOUT, exchange).await {
+        Ok(Ok(_)) => ProbeResult::Accepted,
+        Ok(Err(result)) => result,
         Err(_) => ProbeResult::Unanswered,
     };
-    shell.dispatch(Event::Probed(upstream, result));
+    shell.dispatch(Event::ReplyChecked(check.upstream, result));
 }
--- a/crates/rig/src/edge/site.rs
+++ b/crates/rig/src/edge/site.rs
@@ -23,7 +23,7 @@
 };
 use serde_json::{Value, json};
 
-use super::{Store, Upstream};
+use super::{Store, Upstream, upstream::HEALTH_PATH};
 use crate::{client::Client, server::Server};
 
 /// Time in which an instance must become ready.
@@ -112,7 +112,7 @@
     /// Writes a configuration with routes and the services that they use.
     pub fn configure(&self, version: u64, routes: &[Value], services: &[&str]) {
         let services = services.iter().map(|name| {
-            json!({"name": name, "healthPath": "/health", "maxConns": 50, "protocol": "h1",
+            json!({"name": name, "healthPath": HEALTH_PATH, "maxConns": 50, "protocol": "h1",
                 "tls": false})
         });
         let services: Vec<Value> = services.collect();
@@ -157,6 +157,11 @@
         self.child.is_some()
     }
 
+    /// Returns the id of the process, if it is running.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns whether the process has exited or was never started.
     pub fn has_ended(&mut self) -> bool {
         let child = self.child.as_mut();
--- a/crates/rig/src/edge/upstream.rs
+++ b/crates/rig/src/edge/upstream.rs
@@ -25,6 +25,9 @@
 /// Connections that an upstream accepts at once.
 const MAX_CONNECTIONS: usize = 64;
 
+/// Path of the health check.
+pub(super) const HEALTH_PATH: &str = "/health";
+
 /// Part of the paths of requests that crash the upstreams that run them.
 pub const CRASH_MARK: &str = "/crash-";
 
@@ -236,6 +239,9 @@
                 .and_then(|value| value.to_str().ok())
         };
         let name = lock(&self.state).name.clone();
+        if parts.uri.path() == HEALTH_PATH {
+            return Ok(reply::empty(StatusCode::OK));
+        }
         if text("x-expect-instance").is_some_and(|expected| expected != name) {
             return Ok(reply::empty(StatusCode::MISDIRECTED_REQUEST));
         }
--- a/crates/tier/src/config.rs
+++ b/crates/tier/src/config.rs
@@ -47,10 +47,12 @@
 }
 
 /// A set of interchangeable upstreams.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Service {
     /// Maximum connections to one upstream from all instances together.
     pub max_connections: usize,
+    /// Path of the health check of its upstreams.
+    pub health_path: Box<str>,
 }
 
 /// A rule that maps requests to services.
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -38,6 +38,8 @@
     CloseIdle(UpstreamKey),
     /// Probes whether an upstream accepts connections.
     Probe(UpstreamKey, SocketAddr),
+    /// Checks whether an upstream replies; its health does not matter.
+    CheckReply(ReplyCheck),
     /// Publishes a quarantined request, given by its digest, on the platform.
     Quarantine(u64),
     /// Removes what was published of a request that is no longer quarantined.
@@ -53,6 +55,17 @@
     Note(Note),
 }
 
+/// A check whether an upstream replies.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplyCheck {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Path of its health check.
+    pub path: Box<str>,
+}
+
 /// A request to an upstream.
 #[derive(Debug)]
 pub struct Send<Q> {
--- a/crates/tier/src/event.rs
+++ b/crates/tier/src/event.rs
@@ -87,8 +87,10 @@
     PlatformLost,
     /// The platform is available again.
     PlatformBack,
-    /// An upstream was probed.
+    /// An upstream was probed for a connection, as requests may have crashed it.
     Probed(UpstreamKey, ProbeResult),
+    /// An upstream was checked for a reply; accepted if there was one.
+    ReplyChecked(UpstreamKey, ProbeResult),
     /// The settings have changed.
     Settings(Settings),
     /// The process is shutting down; pending requests are still served.
--- a/crates/tier/src/tier/updates.rs
+++ b/crates/tier/src/tier/updates.rs
@@ -11,7 +11,7 @@
     config::{Config, Target},
     crash::suspicion::ProbeResult,
     directory::Change,
-    effect::{Effect, Note},
+    effect::{Effect, Note, ReplyCheck},
     event::Protocol,
     notice::{MAX_PAUSE, Notice},
     reachability::PROBE_INTERVAL,
@@ -20,7 +20,7 @@
     upstream::{Entry, Upstream, UpstreamKey},
 };
 
-/// Failing upstreams that are probed at a time.
+/// Failing upstreams that are checked at a time.
 const PROBES_AT_ONCE: usize = 4;
 
 /// Random addition to a pause that an upstream asks for: at most this fraction of it.
@@ -238,11 +238,16 @@
         }
         if self.reachability.is_cut_off() {
             let any = self.directory.random(&mut self.rng);
-            effects.extend(any.map(|(key, upstream)| Effect::Probe(key, upstream.entry.address)));
+            let check = any.map(|(key, upstream)| self.reply_check(key, &upstream.entry));
+            effects.extend(check.map(Effect::CheckReply));
         } else if self.reachability.lacks_shards() {
             let failing = self.directory.failing(&mut self.rng);
-            let probes = failing.take(PROBES_AT_ONCE);
-            effects.extend(probes.map(|(key, up)| Effect::Probe(key, up.entry.address)));
+            let checked = failing.take(PROBES_AT_ONCE);
+            let checked: Vec<_> = checked.map(|(key, up)| (key, up.entry.clone())).collect();
+            let checks = checked
+                .iter()
+                .map(|(key, entry)| self.reply_check(*key, entry));
+            effects.extend(checks.map(Effect::CheckReply));
             self.check_shard_reachability(now, effects);
         } else {
             return;
@@ -250,6 +255,20 @@
         self.schedule_probe(now);
     }
 
+    /// Returns a check whether an upstream replies. An accepted connection would not be enough: what
+    /// is in front of an upstream may accept connections that lead nowhere.
+    fn reply_check(&self, upstream: UpstreamKey, entry: &Entry) -> ReplyCheck {
+        let service = self
+            .config
+            .as_ref()
+            .and_then(|it| it.service(&entry.service));
+        ReplyCheck {
+            upstream,
+            address: entry.address,
+            path: service.map_or_else(|| "/".into(), |it| it.health_path.clone()),
+        }
+    }
+
     /// Schedules the next probe unless one is scheduled already.
     fn schedule_probe(&mut self, now: Time) {
         if !std::mem::replace(&mut self.is_probe_scheduled, true) {
@@ -257,15 +276,14 @@
         }
     }
 
-    /// Handles the result of a probe.
-    pub(super) fn on_probed(
+    /// Handles the result of a check for a reply.
+    pub(super) fn on_reply_checked(
         &mut self,
         now: Time,
         key: UpstreamKey,
         result: ProbeResult,
         effects: &mut Vec<Effect<C>>,
     ) {
-        self.on_suspect_probed(now, key, result, effects);
         if !self.reachability.is_cut_off() && !self.reachability.lacks_shards() {
             return;
         }
--- a/crates/tier/tests/branch.rs
+++ b/crates/tier/tests/branch.rs
@@ -32,6 +32,7 @@
     let service = |shard: &ServiceName| {
         let limits = Service {
             max_connections: 50,
+            ..Service::default()
         };
         (shard.clone(), limits)
     };
--- a/crates/tier/tests/crashing/world.rs
+++ b/crates/tier/tests/crashing/world.rs
@@ -16,6 +16,7 @@
     Protocol, Refusal, Route, Settings, Target, Tier, UpstreamKey,
     config::{Gather, Limits, Service},
     crash::suspicion::ProbeResult,
+    effect::ReplyCheck,
 };
 
 use super::SETTLE_WINDOW;
@@ -206,7 +207,8 @@
     Done(usize, u64, Sent, u64),
     Outcome(Sent, Option<Failure>),
     /// A probe by an instance, of this start, has ended.
-    Probed(usize, u32, UpstreamKey, ProbeResult),
+    /// With whether a reply was checked for, or a connection.
+    Probed(usize, u32, UpstreamKey, ProbeResult, bool),
     /// An upstream is back.
     Back(usize, bool),
     Mend(usize),
@@ -411,8 +413,14 @@
                 let outcome = failure.map_or_else(reply, Outcome::Failed);
                 self.deliver(sent.instance, Event::AttemptEnded(sent.attempt, outcome));
             }
-            Step::Probed(instance, start, key, result) if start == self.starts[instance] => {
-                self.deliver(instance, Event::Probed(key, result));
+            Step::Probed(instance, start, key, result, is_reply_check)
+                if start == self.starts[instance] =>
+            {
+                let event = match is_reply_check {
+                    true => Event::ReplyChecked(key, result),
+                    false => Event::Probed(key, result),
+                };
+                self.deliver(instance, event);
             }
             Step::Probed(..) => {}
             Step::Back(upstream, has_new_name) => self.back(upstream, has_new_name),
@@ -544,7 +552,13 @@
                     upstream.running.retain(|it| *it != cancelled);
                 }
             }
-            Effect::Probe(key, address) => {
+            Effect::Probe(key, address)
+            | Effect::CheckReply(ReplyCheck {
+                upstream: key,
+                address,
+                ..
+            }) => {
+                let is_reply_check = matches!(effect, Effect::CheckReply(_));
                 let upstream = &self.upstreams[usize::from(address.port())];
                 let is_up = upstream.down_until.is_none();
                 let is_starved =
@@ -556,7 +570,10 @@
                     false => (DELAY * 2, ProbeResult::Refused),
                 };
                 let start = self.starts[instance];
-                self.schedule(after, Step::Probed(instance, start, key, result));
+                self.schedule(
+                    after,
+                    Step::Probed(instance, start, key, result, is_reply_check),
+                );
             }
             Effect::ReportCrash(crash, to) => {
                 for other in to {
@@ -704,8 +721,12 @@
     let shards: Box<[ServiceName]> = (0..scenario.shards).map(service).collect();
     let limits = Service {
         max_connections: 500,
+        ..Service::default()
     };
-    let services = shards.iter().map(|it| (it.clone(), limits)).collect();
+    let services = shards
+        .iter()
+        .map(|it| (it.clone(), limits.clone()))
+        .collect();
     let target = match scenario.shards {
         1 => Target::One(service(0)),
         count => Target::Gather(Gather {
--- a/crates/tier/tests/cut_off.rs
+++ b/crates/tier/tests/cut_off.rs
@@ -96,6 +96,7 @@
     let service: ServiceName = "desk".parse().unwrap();
     let limits = Service {
         max_connections: 50,
+        ..Service::default()
     };
     let route = |prefix: &str, idempotent| Route {
         name: prefix.into(),
@@ -259,10 +260,19 @@
     let mut instance = cut_off_instance();
     let probes = instance.after(Duration::from_secs(1));
     let key = probes.iter().find_map(|effect| match effect {
-        Effect::Probe(key, _) => Some(*key),
+        Effect::CheckReply(check) => Some(check.upstream),
         _ => None,
     });
-    instance.on(Event::Probed(key.unwrap(), ProbeResult::Accepted));
+    instance.on(Event::ReplyChecked(key.unwrap(), ProbeResult::Accepted));
     let effects = instance.call(1, Origin::Caller, None);
     assert_eq!(sent(&effects).len(), 1);
 }
+
+/// Searches whose parts reach upstreams that close the connection instead of replying.
+#[test]
+fn callers_of_an_instance_whose_connections_break_are_served_by_the_others() {
+    for seed in 1..=2 {
+        let cut = [(0, Cut::Breaks), (5, Cut::Breaks)];
+        assert_served(&mut Simulation::new(search_tier(seed)), &cut);
+    }
+}
--- a/crates/tier/tests/handover.rs
+++ b/crates/tier/tests/handover.rs
@@ -26,6 +26,7 @@
             shard.clone(),
             Service {
                 max_connections: 50,
+                ..Service::default()
             },
         )
     };
--- a/crates/tier/tests/simulation.rs
+++ b/crates/tier/tests/simulation.rs
@@ -9,6 +9,7 @@
 use std::{
     cmp::Reverse,
     collections::{BTreeMap, BinaryHeap, HashMap, VecDeque},
+    net::SocketAddr,
     time::Duration,
 };
 
@@ -65,8 +66,8 @@
     /// A refused caller returns; with the time of its first request.
     Return(usize, Time),
     Arrive(usize, AttemptKey, usize),
-    /// An instance fails to open a connection.
-    ConnectFailed(usize, AttemptKey),
+    /// An attempt of an instance that is cut off fails: unsent, or with its connection broken.
+    Failed(usize, AttemptKey, bool),
     Done(usize, usize, AttemptKey),
     Pause(usize, Duration),
     Resume(usize),
@@ -84,6 +85,8 @@
     Hangs,
     /// Connections are refused.
     Refuses,
+    /// Connections are accepted, and closed once a request was sent.
+    Breaks,
 }
 
 /// Time after which an instance gives up opening a connection.
@@ -212,8 +215,11 @@
             Step::Arrive(instance, attempt, upstream) => {
                 self.arrive(instance, attempt, upstream);
             }
-            Step::ConnectFailed(instance, attempt) => {
-                let outcome = Outcome::Failed(Failure::Unreachable);
+            Step::Failed(instance, attempt, is_broken) => {
+                let outcome = Outcome::Failed(match is_broken {
+                    true => Failure::Broken,
+                    false => Failure::Unreachable,
+                });
                 self.deliver(instance, Event::AttemptEnded(attempt, outcome));
             }
             Step::Done(upstream, instance, attempt) => self.done(upstream, instance, attempt),
@@ -284,14 +290,16 @@
                 }
             }
             Effect::Probe(key, address) => {
-                let it = &self.upstreams[usize::from(address.port())];
-                let result = match (self.cuts[instance], it.is_partitioned, it.is_down) {
-                    (Some(Cut::Hangs), ..) | (_, true, _) => ProbeResult::Unanswered,
-                    (Some(Cut::Refuses), ..) | (_, _, true) => ProbeResult::Refused,
-                    (None, false, false) => ProbeResult::Accepted,
+                let result = match self.cuts[instance] {
+                    Some(Cut::Breaks) => ProbeResult::Accepted,
+                    _ => self.probe(instance, address),
                 };
                 self.deliver(instance, Event::Probed(key, result));
             }
+            Effect::CheckReply(check) => {
+                let result = self.probe(instance, check.address);
+                self.deliver(instance, Event::ReplyChecked(check.upstream, result));
+            }
             Effect::Forget(_)
             | Effect::CloseIdle(_)
             | Effect::Quarantine(_)
@@ -303,6 +311,16 @@
         }
     }
 
+    /// Returns the result of a probe of an upstream.
+    fn probe(&self, instance: usize, address: SocketAddr) -> ProbeResult {
+        let it = &self.upstreams[usize::from(address.port())];
+        match (self.cuts[instance], it.is_partitioned, it.is_down) {
+            (Some(Cut::Hangs | Cut::Breaks), ..) | (_, true, _) => ProbeResult::Unanswered,
+            (Some(Cut::Refuses), ..) | (_, _, true) => ProbeResult::Refused,
+            (None, false, false) => ProbeResult::Accepted,
+        }
+    }
+
     /// Uses the CPU time for sending one part; returns the time at which it is sent.
     fn use_cpu(&mut self, instance: usize, upstream: usize) -> Time {
         let used = self.used.insert((instance, upstream), self.now);
@@ -371,13 +389,15 @@
     }
 
     fn arrive(&mut self, instance: usize, attempt: AttemptKey, upstream: usize) {
-        let connect_failed = match self.cuts[instance] {
+        let failed = match self.cuts[instance] {
             None => None,
-            Some(Cut::Hangs) => Some(CONNECT_TIMEOUT),
-            Some(Cut::Refuses) => Some(NETWORK_DELAY),
+            Some(Cut::Hangs) => Some((CONNECT_TIMEOUT, false)),
+            Some(Cut::Refuses) => Some((NETWORK_DELAY, false)),
+            Some(Cut::Breaks) => Some((NETWORK_DELAY, true)),
         };
-        if let Some(after) = connect_failed {
-            return self.schedule(self.now + after, Step::ConnectFailed(instance, attempt));
+        if let Some((after, is_broken)) = failed {
+            let step = Step::Failed(instance, attempt, is_broken);
+            return self.schedule(self.now + after, step);
         }
         let it = &mut self.upstreams[upstream];
         if it.is_down {
--- a/crates/tier/tests/simulation/build.rs
+++ b/crates/tier/tests/simulation/build.rs
@@ -81,6 +81,7 @@
                     s.clone(),
                     Service {
                         max_connections: 50,
+                        ..Service::default()
                     },
                 )
             })
