tier: a cut-off instance asks instances that failed last after the others

Cause: an instance that was ejected counted like an unknown one once that was over. Change: partners that were active come first, unknown ones next, those whose last handover failed last. The choice has a file of its own. Figures: instances_that_are_gone_are_not_asked_again_while_others_answer fails without the order.

--- a/crates/tier/src/handover.rs
+++ b/crates/tier/src/handover.rs
@@ -9,11 +9,13 @@
 //!
 //! The handover of a search is unrelated to that of an upstream to a new owner (`node::owners`).
 
-use std::{collections::HashSet, net::SocketAddr, time::Duration};
+mod relay;
+
+use std::{net::SocketAddr, time::Duration};
 
 use base::{DataCentre, InstanceName, Time};
 use rand::{Rng, seq::IteratorRandom};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::config::Search;
 
@@ -44,13 +46,6 @@
 /// among all instances; those instances query the service only when no branch instance can.
 const REMOTE_WEIGHT: f64 = 0.25;
 
-/// Number of instances among which one that is cut off divides its requests.
-const RELAY_PARTNERS: usize = 6;
-
-/// Factor on the load of an instance whose data centre may be cut off, when requests are divided among
-/// the partners.
-const DOUBT_COST: f64 = 3.0;
-
 /// Number of instances that count the upstreams that a request has crashed, so that some of them
 /// are up and reachable at any time.
 const COLLECTORS: usize = 3;
@@ -233,52 +228,6 @@
         best.map(|(peer, _)| &peer.instance)
     }
 
-    /// Returns the instance that a request is handed to because the local instance, named `own_name`,
-    /// does not reach the upstreams: the least loaded one of its partners that are not ejected.
-    ///
-    /// Each instance has its own partners, so that those that are cut off spread their requests over
-    /// all others and keep few connections. Those in a data centre of which instances were ejected
-    /// come last, as the whole data centre may be cut off.
-    pub fn relay_instance(
-        &self,
-        now: Time,
-        own_name: &str,
-        search: Option<Search>,
-    ) -> Option<&Instance> {
-        let seed = xxh3_64(own_name.as_bytes());
-        let is_ejected = |peer: &Peer| peer.ejected_until > now;
-        let ejected = self.peers.iter().filter(|peer| is_ejected(peer));
-        let doubtful: HashSet<&DataCentre> =
-            ejected.map(|peer| &peer.instance.data_centre).collect();
-        // Searches need instances with the CPU time for them.
-        let is_too_small = |cpu_share| match search {
-            Some(search) => self.hands_over(cpu_share, search),
-            None => false,
-        };
-        let usable = self.peers.iter().filter(|peer| !is_ejected(peer));
-        let mut partners: Vec<((bool, bool, u64), &Peer)> = usable
-            .map(|peer| {
-                let instance = &peer.instance;
-                let rank = (
-                    is_too_small(instance.cpu_share),
-                    doubtful.contains(&instance.data_centre),
-                    xxh3_64_with_seed(instance.name.as_str().as_bytes(), seed),
-                );
-                (rank, peer)
-            })
-            .collect();
-        partners.sort_unstable_by_key(|(rank, _)| *rank);
-        partners.truncate(RELAY_PARTNERS);
-        let load = |((_, is_doubtful, _), peer): &((bool, bool, u64), &Peer)| {
-            let cost = if *is_doubtful { DOUBT_COST } else { 1.0 };
-            cost * f64::from(peer.pending + 1) / peer.instance.cpu_share
-        };
-        let least = partners
-            .into_iter()
-            .min_by(|a, b| load(a).total_cmp(&load(b)));
-        least.map(|(_, peer)| &peer.instance)
-    }
-
     /// Returns the branch instance for shards of a data centre, if an instance there has at least
     /// this CPU share.
     pub fn branch_instance(
--- a/crates/tier/tests/cut_off.rs
+++ b/crates/tier/tests/cut_off.rs
@@ -268,6 +268,29 @@
     assert_eq!(sent(&effects).len(), 1);
 }
 
+/// Records of instances that are gone stay listed for a while.
+#[test]
+fn instances_that_are_gone_are_not_asked_again_while_others_answer() {
+    let mut instance = cut_off_instance();
+    instance.on(Event::Instances((0..40).map(other).collect()));
+    let is_gone = |name: &str| name != "other-7" && name != "other-23";
+    let mut failed_late = 0;
+    for id in 1..=200 {
+        let mut effects = instance.call(id, Origin::Caller, None);
+        while let Some(next) = handover(&effects) {
+            let (call, to) = (next.call, next.to.clone());
+            let end = match is_gone(to.as_str()) {
+                true => HandOverOutcome::Declined,
+                false => HandOverOutcome::Answer(SimReply::gathered(Vec::new())),
+            };
+            effects = instance.on(Event::HandOverEnded(call, end));
+        }
+        failed_late += usize::from(id > 20 && refusal(&effects).is_some());
+        instance.after(Duration::from_millis(50));
+    }
+    assert_eq!(failed_late, 0);
+}
+
 /// Searches whose parts reach upstreams that close the connection instead of replying.
 #[test]
 fn callers_of_an_instance_whose_connections_break_are_served_by_the_others() {
