rig, soak: instances that are cut off from all upstreams

Cause: the soak could cut an upstream off from all instances, but no instance from all upstreams. Change: the proxies know which instance opened a connection, from the sockets that the kernel lists, and hold, reset or refuse those of cut-off instances. One test plays the three kinds on processes without other faults.

--- a/crates/briarcove/tests/soak.rs
+++ b/crates/briarcove/tests/soak.rs
@@ -2,7 +2,7 @@
 
 use std::{path::PathBuf, thread, time::Duration};
 
-use rig::soak::{Options, run};
+use rig::soak::{Cut, Fault, Options, ScheduledFault, run, run_plan};
 
 /// Seeds that found a fault, with its cause.
 const REGRESSION_SEEDS: [(u64, &str); 3] = [
@@ -54,21 +54,50 @@
     run_with(CRASH_SEEDS.into_iter(), CRASH_LENGTH, true);
 }
 
+/// Guards against refusals of requests that other instances could serve. Two of three instances,
+/// or one, are cut off from all upstreams.
+#[test]
+fn callers_of_cut_off_instances_are_served() {
+    let cuts = [
+        ([true, false, true], Cut::Hangs),
+        ([true, false, false], Cut::Resets),
+        ([false, true, true], Cut::Refuses),
+    ];
+    let options = options("cut-off", Duration::from_secs(10), false);
+    thread::scope(|scope| {
+        let run = |(seed, (instances, how)): (usize, _)| {
+            let cut_off = ScheduledFault {
+                at: Duration::from_millis(500),
+                duration: Duration::from_secs(9),
+                fault: Fault::CutOff(instances, how),
+            };
+            let options = &options;
+            scope.spawn(move || run_plan(options, seed as u64, &[cut_off]).unwrap())
+        };
+        let runs: Vec<_> = cuts.into_iter().enumerate().map(run).collect();
+        for run in runs {
+            let report = run.join().unwrap();
+            assert!(report.violations.is_empty(), "{report}");
+        }
+    });
+}
+
 fn run_all(seeds: impl Iterator<Item = u64>) {
     run_with(seeds, Duration::from_secs(10), false);
 }
 
-fn run_with(seeds: impl Iterator<Item = u64>, length: Duration, with_crashes: bool) {
-    let options = Options {
+fn options(folder: &str, length: Duration, with_crashes: bool) -> Options {
+    Options {
         program: PathBuf::from(env!("CARGO_BIN_EXE_briarcove")),
-        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(if with_crashes {
-            "crash-soak"
-        } else {
-            "soak"
-        }),
+        folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder),
         length,
         with_crashes,
-    };
+    }
+}
+
+fn run_with(seeds: impl Iterator<Item = u64>, length: Duration, with_crashes: bool) {
+    let folder = if with_crashes { "crash-soak" } else { "soak" };
+    let options = options(folder, length, with_crashes);
     thread::scope(|scope| {
         let runs: Vec<_> = seeds
             .map(|seed| {
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -12,6 +12,7 @@
 mod callers;
 mod check;
 mod crashing;
+mod cuts;
 mod deployment;
 mod plan;
 mod proxy;
@@ -29,6 +30,7 @@
 use check::{PROBE_PREFIX, Recording};
 
 use crashing::Ends;
+pub use cuts::Cut;
 use deployment::{Deployment, MIN_COVERAGE, SHARDS};
 pub use plan::{Fault, ScheduledFault, plan};
 pub use proxy::Condition;
@@ -99,19 +101,27 @@
     }
 }
 
-/// Runs the soak test with one seed.
+/// Runs the soak test with the faults of one seed.
 ///
 /// # Errors
 ///
 /// Fails when processes cannot be started or stopped.
 pub fn run(options: &Options, seed: u64) -> io::Result<Report> {
+    run_plan(options, seed, &plan(seed, options.length))
+}
+
+/// Runs the soak test with given faults; the seed is that of the callers.
+///
+/// # Errors
+///
+/// Fails when processes cannot be started or stopped.
+pub fn run_plan(options: &Options, seed: u64, plan: &[ScheduledFault]) -> io::Result<Report> {
     let folder = options.folder.join(format!("seed-{seed}"));
     // The logs are checked, and those of an earlier run with the seed would be taken for this one's.
     if folder.exists() {
         fs::remove_dir_all(&folder)?;
     }
     fs::create_dir_all(&folder)?;
-    let plan = plan(seed, options.length);
     let lines: Vec<String> = plan.iter().map(ToString::to_string).collect();
     fs::write(folder.join("plan"), lines.join("\n"))?;
     // Runs with odd seeds register so many stale instances that some instances become followers.
@@ -140,7 +150,7 @@
             }));
         }
     }
-    deployment.run_plan(&plan)?;
+    deployment.run_plan(plan)?;
     callers.stop_crashing();
     // Lets the last signals take effect before recovery is checked.
     deployment.wait_until(Instant::now() + SETTLE_TIME)?;
@@ -162,6 +172,7 @@
         outcomes: &outcomes,
         arrivals: &arrivals,
         outages: &deployment.outages,
+        cuts: &deployment.cut_off,
         disturbed: &deployment.disturbed,
         shards: SHARDS.len(),
         min_parts: (SHARDS.len() as f64 * MIN_COVERAGE).ceil() as usize,
@@ -170,6 +181,7 @@
     violations.extend(announced::check(&recording));
     if !options.with_crashes {
         violations.extend(announced::check_limits(&recording));
+        violations.extend(cuts::check(&recording));
     }
     violations.extend(crashing::check(&recording, &deployment.logs()?));
     let is_served = |outcome: &&callers::Outcome| {
--- a/crates/rig/src/soak/check.rs
+++ b/crates/rig/src/soak/check.rs
@@ -8,7 +8,10 @@
 use bytes::Bytes;
 use http::{Response, StatusCode};
 
-use super::callers::{Kind, Outcome};
+use super::{
+    callers::{Kind, Outcome},
+    cuts::CutOff,
+};
 use crate::edge::Arrival;
 
 /// Time after the timeout of a request by which it must be answered, as the platform requires.
@@ -50,6 +53,8 @@
     pub(super) arrivals: &'a [Arrival],
     /// Outages of instances.
     pub(super) outages: &'a [Outage],
+    /// Times in which instances were cut off from all upstreams.
+    pub(super) cuts: &'a [CutOff],
     /// Upstreams whose network path was disturbed, with the times from and until when.
     pub(super) disturbed: &'a [(String, Instant, Instant)],
     /// Number of shards of a search.
--- a/crates/rig/src/soak/deployment.rs
+++ b/crates/rig/src/soak/deployment.rs
@@ -19,7 +19,8 @@
 use super::{
     check::Outage,
     crashing::Ends,
-    plan::{Fault, ScheduledFault},
+    cuts::{Cut, CutOff, Cuts},
+    plan::{Fault, INSTANCES, ScheduledFault},
     proxy::{Condition, Proxy, wait_for},
 };
 use crate::edge::{Arrival, Availability, Behaviour, Site, Upstream, route_gather, route_one};
@@ -39,7 +40,7 @@
 pub(super) const MIN_COVERAGE: f64 = 0.6;
 
 /// CPU share of each instance, in cores. The smallest makes its instance hand searches over.
-const CPU_SHARES: [f64; 3] = [1.0, 0.5, 0.01];
+const CPU_SHARES: [f64; INSTANCES] = [1.0, 0.5, 0.01];
 
 /// Number of stale instance records in a run that appears to have a large fleet.
 const STALE_RECORDS: usize = 45;
@@ -67,6 +68,9 @@
     upstream_proxies: Vec<Proxy>,
     store_proxies: Vec<Proxy>,
     pub(super) outages: Vec<Outage>,
+    cuts: Arc<Cuts>,
+    /// Times in which instances were cut off from all upstreams.
+    pub(super) cut_off: Vec<CutOff>,
     version: u64,
     seq: u64,
     program: Box<Path>,
@@ -137,6 +141,8 @@
             upstream_proxies: Vec::new(),
             store_proxies: Vec::new(),
             outages: Vec::new(),
+            cuts: Arc::default(),
+            cut_off: Vec::new(),
             version: 0,
             seq: 1,
             program: program.into(),
@@ -158,9 +164,11 @@
                 let name = format!("{service}-{replica}");
                 let upstream =
                     Upstream::start(&name, service, NORMAL_BEHAVIOUR).map_err(io::Error::other)?;
-                deployment
-                    .upstream_proxies
-                    .push(Proxy::start(upstream.address(), upstream.has_crashed())?);
+                deployment.upstream_proxies.push(Proxy::start(
+                    upstream.address(),
+                    upstream.has_crashed(),
+                    &deployment.cuts,
+                )?);
                 deployment.upstreams.push(upstream);
             }
         }
@@ -168,12 +176,13 @@
             deployment.register(at, "ready");
         }
         deployment.configure();
-        for site in &mut deployment.sites {
+        for (at, site) in deployment.sites.iter_mut().enumerate() {
             let never = Arc::new(AtomicBool::new(false));
-            let proxy = Proxy::start(site.store_address(), &never)?;
+            let proxy = Proxy::start(site.store_address(), &never, &Arc::default())?;
             site.set_store_address(proxy.address());
             deployment.store_proxies.push(proxy);
             site.spawn(program)?;
+            deployment.cuts.set_process(at, site.process_id());
         }
         let ready = wait_for(Duration::from_secs(10), || deployment.is_ready());
         ready
@@ -209,14 +218,40 @@
         Ok(())
     }
 
-    /// Notes which upstream a fault disturbs, until a time.
+    /// Notes which upstreams a fault disturbs and which instances it cuts off, until a time.
     fn note_disturbed(&mut self, fault: Fault, until: Instant) {
-        if let Fault::UpstreamWay(at, _) | Fault::ResetUpstream(at) = fault {
-            let upstream = self.upstreams[at % self.upstreams.len()].name();
-            self.disturbed.push((upstream, Instant::now(), until));
+        let now = Instant::now();
+        match fault {
+            Fault::UpstreamWay(at, _) | Fault::ResetUpstream(at) => {
+                let upstream = self.upstreams[at % self.upstreams.len()].name();
+                self.disturbed.push((upstream, now, until));
+            }
+            Fault::CutOff(instances, _) => {
+                let names = self.upstreams.iter().map(Upstream::name);
+                self.disturbed.extend(names.map(|name| (name, now, until)));
+                let cut = instances
+                    .into_iter()
+                    .enumerate()
+                    .filter(|(_, is_cut)| *is_cut);
+                self.cut_off.extend(cut.map(|(instance, _)| CutOff {
+                    instance,
+                    from: now,
+                    to: until,
+                }));
+            }
+            _ => {}
         }
     }
 
+    /// Cuts instances off from all upstreams, or ends their cut.
+    fn cut_off(&self, instances: [bool; CPU_SHARES.len()], how: Option<Cut>) {
+        let cut = instances
+            .into_iter()
+            .enumerate()
+            .filter(|(_, is_cut)| *is_cut);
+        cut.for_each(|(instance, _)| self.cuts.set(instance, how));
+    }
+
     /// Waits until a time and reverts the faults that end before it.
     fn revert_until(&mut self, until: Instant) -> io::Result<()> {
         while let Some(revert) = self
@@ -282,6 +317,7 @@
             Fault::Behave(at, how) => self.upstreams[at % upstreams].set_behaviour(how),
             Fault::Store(availability) => self.sites[0].store.set_availability(availability),
             Fault::Compact => self.sites[0].store.compact(),
+            Fault::CutOff(instances, how) => self.cut_off(instances, Some(how)),
             Fault::Drill(_) => self.sites[0].store.set_availability(Availability::Down),
             Fault::Rewrite => {}
             Fault::Configure => self.configure(),
@@ -324,6 +360,7 @@
                     fault: Fault::Rewrite,
                 });
             }
+            Fault::CutOff(instances, _) => self.cut_off(instances, None),
             Fault::Rewrite => self.sites[0].store.rewrite_external(),
             Fault::Drain(at) | Fault::Lapse(at) => self.register(at % upstreams, "ready"),
             Fault::ResetUpstream(_)
@@ -450,6 +487,7 @@
         }
         let program = self.program.clone();
         self.sites[at].spawn(&program)?;
+        self.cuts.set_process(at, self.sites[at].process_id());
         self.started[at] = Instant::now();
         self.close_outage(at);
         Ok(())
--- a/crates/rig/src/soak/plan.rs
+++ b/crates/rig/src/soak/plan.rs
@@ -4,9 +4,12 @@
 
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use super::proxy::Condition;
+use super::{cuts::Cut, proxy::Condition};
 use crate::edge::{Availability, Behaviour};
 
+/// Number of instances.
+pub(super) const INSTANCES: usize = 3;
+
 /// A fault or an operational change. Indices of instances and upstreams are taken modulo their
 /// number.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,6 +44,8 @@
     Drain(usize),
     /// The entry of an upstream is removed from the store temporarily.
     Lapse(usize),
+    /// Instances are cut off from all upstreams temporarily.
+    CutOff([bool; INSTANCES], Cut),
     /// The store goes away, and comes back from a copy of this age.
     Drill(Duration),
     /// Upstreams and the operator write again what the store has lost; follows a drill.
@@ -68,6 +73,9 @@
 /// Number mixed into the seed for the faults of [`announced_faults`].
 const SEED_MIX: u64 = 0x0a11_0e5a;
 
+/// Number mixed into the seed for [`cut_off`].
+const CUT_SEED_MIX: u64 = 0x00c0_7c07;
+
 /// Number mixed into the seed for [`limited_upstream`].
 const LIMIT_SEED_MIX: u64 = 0x11a1_7ed5;
 
@@ -76,6 +84,7 @@
     let mut planned = drawn_faults(seed, length);
     planned.extend(announced_faults(seed, length));
     planned.push(limited_upstream(seed, length));
+    planned.extend(cut_off(seed, length));
     planned.sort_by_key(|planned| planned.at);
     planned
 }
@@ -126,6 +135,21 @@
     }
 }
 
+/// Draws a cut of one or two instances from all upstreams for half of the seeds, long enough for
+/// their callers to have to be served, with draws of its own.
+fn cut_off(seed: u64, length: Duration) -> Option<ScheduledFault> {
+    let mut rng = SmallRng::seed_from_u64(seed ^ CUT_SEED_MIX);
+    let only = rng.random_range(0..INSTANCES);
+    let most = rng.random_bool(0.5);
+    let how = [Cut::Hangs, Cut::Resets, Cut::Refuses][rng.random_range(0..3)];
+    let instances = std::array::from_fn(|instance| (instance == only) != most);
+    rng.random_bool(0.5).then(|| ScheduledFault {
+        at: length.mul_f64(rng.random_range(0.02..0.25)),
+        duration: length.mul_f64(0.7),
+        fault: Fault::CutOff(instances, how),
+    })
+}
+
 fn drawn_faults(seed: u64, length: Duration) -> Vec<ScheduledFault> {
     let mut rng = SmallRng::seed_from_u64(seed);
     let mut planned = Vec::new();
--- a/crates/rig/src/soak/proxy.rs
+++ b/crates/rig/src/soak/proxy.rs
@@ -13,6 +13,8 @@
 
 use socket2::{Domain, SockRef, Socket, Type};
 
+use super::cuts::{Cut, Cuts};
+
 /// Interval at which a connection checks for data and for changes of the condition.
 const POLL_INTERVAL: Duration = Duration::from_millis(5);
 
@@ -45,6 +47,8 @@
     /// Whether its machine has ended too, so that connections get no answer at all.
     ends_silently: AtomicBool,
     is_stopping: AtomicBool,
+    /// Instances that are cut off from the server.
+    cuts: Arc<Cuts>,
 }
 
 impl Shared {
@@ -67,12 +71,17 @@
     /// # Errors
     ///
     /// Fails when no port can be bound.
-    pub(super) fn start(server: SocketAddr, has_ended: &Arc<AtomicBool>) -> io::Result<Self> {
+    pub(super) fn start(
+        server: SocketAddr,
+        has_ended: &Arc<AtomicBool>,
+        cuts: &Arc<Cuts>,
+    ) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         listener.set_nonblocking(true)?;
         let shared = Arc::new(Shared {
             has_ended: Arc::clone(has_ended),
+            cuts: Arc::clone(cuts),
             ..Shared::default()
         });
         let held = Arc::clone(&shared);
@@ -191,6 +200,14 @@
     server: SocketAddr,
     shared: &Arc<Shared>,
 ) -> io::Result<()> {
+    let owner = shared.cuts.owner(client.peer_addr()?.port())?;
+    let cut = || owner.and_then(|instance| shared.cuts.of(instance));
+    while cut() == Some(Cut::Hangs) && !shared.is_stopping.load(Ordering::Relaxed) {
+        thread::sleep(POLL_INTERVAL);
+    }
+    if cut().is_some() {
+        return SockRef::from(client).set_linger(Some(Duration::ZERO));
+    }
     let server = TcpStream::connect(server)?;
     let ends = [client, &server];
     for end in ends {
@@ -200,8 +217,8 @@
     }
     let generation = shared.resets.load(Ordering::Relaxed);
     thread::scope(|scope| {
-        scope.spawn(|| forward(client, &server, true, generation, shared));
-        forward(&server, client, false, generation, shared);
+        scope.spawn(|| forward(client, &server, true, generation, shared, &cut));
+        forward(&server, client, false, generation, shared, &cut);
     });
     Ok(())
 }
@@ -213,13 +230,15 @@
     to_server: bool,
     generation: u64,
     shared: &Shared,
+    cut: &impl Fn() -> Option<Cut>,
 ) {
     let mut buf = [0; 16 << 10];
     loop {
         if shared.is_stopping.load(Ordering::Relaxed) {
             break;
         }
-        if shared.resets.load(Ordering::Relaxed) != generation {
+        let cut = cut();
+        if shared.resets.load(Ordering::Relaxed) != generation || cut == Some(Cut::Resets) {
             for end in [from, to] {
                 // A socket with a linger time of zero sends RST on close.
                 let _ = SockRef::from(end).set_linger(Some(Duration::ZERO));
@@ -228,6 +247,7 @@
         }
         let condition = *shared.condition();
         let is_held = shared.has_ended.load(Ordering::Relaxed)
+            || cut == Some(Cut::Hangs)
             || match condition {
                 Condition::Sound | Condition::Delayed(_) => false,
                 Condition::CutThere => to_server,
