wire, edge: the largest reply of an upstream fits into a frame between instances

Since requests of every kind are handed over, the reply of an upstream may have 8 MB, and a frame 4 MB: one larger reply ended the connection, and with it all requests that were handed over on it. Change: frames between instances of edge take the largest reply and its head; a request with a larger body is not handed over. serve keeps its frames. Figures: the_largest_answer_fits_in_a_frame fails with the limit of before.

--- a/crates/briarcove/src/edge/peers/channel.rs
+++ b/crates/briarcove/src/edge/peers/channel.rs
@@ -14,7 +14,7 @@
 use tokio_util::codec::{Decoder, Encoder};
 use wire::{
     Codec,
-    handover::{Frame, Payload},
+    handover::{Frame, MAX_FRAME_BYTES, Payload},
 };
 
 /// Size of one read, in bytes.
@@ -85,7 +85,7 @@
     ) -> io::Result<()> {
         let mut connection = Connection {
             socket,
-            codec: Codec::default(),
+            codec: Codec::with_max_frame(MAX_FRAME_BYTES),
             output: BytesMut::new(),
             input: BytesMut::new(),
             is_drained: false,
--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -69,6 +69,11 @@
         shell: &Rc<Shell>,
         search: HandOver<Rc<CallerRequest>>,
     ) {
+        if search.request.content().3.len() > handover::MAX_BODY_BYTES {
+            // Its frame would end the connection, and all that was handed over on it.
+            let declined = HandOverOutcome::Declined;
+            return shell.dispatch(Event::HandOverEnded(search.call, declined));
+        }
         let peer = self.get_or_connect(shell, &search.to, search.address);
         peer.pending.borrow_mut().insert(search.call, false);
         peer.channel.push(Item::Search(search));
--- a/crates/briarcove/src/edge/upstreams.rs
+++ b/crates/briarcove/src/edge/upstreams.rs
@@ -25,8 +25,8 @@
 
 use super::shell::Shell;
 
-/// Maximum size of an upstream's reply, in bytes.
-const MAX_REPLY_BYTES: usize = 8 << 20;
+/// Maximum size of an upstream's reply, in bytes; an instance that is cut off gets it from another one.
+const MAX_REPLY_BYTES: usize = wire::handover::MAX_BODY_BYTES;
 
 /// Time in which an upstream has to reply to a health check. Upstreams pause for up to a quarter of a
 /// second.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -9,7 +9,7 @@
 
 use crate::Envelope;
 
-/// Largest accepted frame, in bytes.
+/// Largest accepted frame by default, in bytes.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
 /// Size of the length prefix of a frame, in bytes.
@@ -18,7 +18,7 @@
 /// Error of reading or writing a frame.
 #[derive(Debug, Snafu)]
 pub enum FrameError {
-    /// The frame is longer than [`MAX_FRAME_BYTES`], or the connection failed.
+    /// The frame is longer than the maximum, or the connection failed.
     #[snafu(context(false), display("frame: {source}"))]
     Io {
         /// Error of the framing or the connection.
@@ -43,16 +43,25 @@
 #[derive(Debug)]
 pub struct Codec<M = Envelope> {
     frames: LengthDelimitedCodec,
+    max_frame: usize,
     message: PhantomData<M>,
 }
 
 impl<M> Default for Codec<M> {
     fn default() -> Self {
+        Self::with_max_frame(MAX_FRAME_BYTES)
+    }
+}
+
+impl<M> Codec<M> {
+    /// Creates a codec for frames of at most `max_frame` bytes, which has to fit in a `u32`.
+    pub fn with_max_frame(max_frame: usize) -> Self {
         let frames = LengthDelimitedCodec::builder()
-            .max_frame_length(MAX_FRAME_BYTES)
+            .max_frame_length(max_frame)
             .new_codec();
         Self {
             frames,
+            max_frame,
             message: PhantomData,
         }
     }
@@ -75,14 +84,14 @@
 
     fn encode(&mut self, message: &M, buf: &mut BytesMut) -> Result<(), FrameError> {
         let length = message.encoded_len();
-        if length > MAX_FRAME_BYTES {
+        if length > self.max_frame {
             let kind = std::io::ErrorKind::InvalidInput;
             return Err(
                 std::io::Error::new(kind, "the message is longer than the maximum frame").into(),
             );
         }
         buf.reserve(LENGTH_BYTES + length);
-        // `MAX_FRAME_BYTES` fits in the `u32`.
+        // The maximum fits in the `u32`.
         buf.put_u32(length as u32);
         Ok(message.encode(buf).map_err(std::io::Error::other)?)
     }
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -6,6 +6,12 @@
 use bytes::Bytes;
 use prost::{Message, Oneof};
 
+/// Largest body of a request or an answer that is handed over, in bytes.
+pub const MAX_BODY_BYTES: usize = 8 << 20;
+
+/// Largest frame, in bytes: the largest body, and its head.
+pub const MAX_FRAME_BYTES: usize = MAX_BODY_BYTES + (1 << 20);
+
 /// One message on a connection.
 #[derive(Clone, PartialEq, Message)]
 pub struct Frame {
--- a/crates/wire/tests/malformed.rs
+++ b/crates/wire/tests/malformed.rs
@@ -2,8 +2,11 @@
 
 use bytes::BytesMut;
 use quickcheck::quickcheck;
-use tokio_util::codec::Decoder;
-use wire::{Codec, Envelope, handover::Frame};
+use tokio_util::codec::{Decoder, Encoder};
+use wire::{
+    Codec, Envelope,
+    handover::{Done, Frame, MAX_BODY_BYTES, MAX_FRAME_BYTES, Payload},
+};
 
 fn decode_all<M: prost::Message + Default>(bytes: &[u8]) {
     let mut codec = Codec::<M>::default();
@@ -23,3 +26,19 @@
         true
     }
 }
+
+#[test]
+fn the_largest_answer_fits_in_a_frame() {
+    let done = Done {
+        call: 1,
+        status: 200,
+        body: vec![7; MAX_BODY_BYTES].into(),
+        ..Done::default()
+    };
+    let frame = Frame::from(Payload::Done(done));
+    let mut codec = Codec::with_max_frame(MAX_FRAME_BYTES);
+    let mut buf = BytesMut::new();
+    codec.encode(&frame, &mut buf).expect("the frame is sent");
+    let decoded: Option<Frame> = codec.decode(&mut buf).expect("the frame is accepted");
+    assert_eq!(decoded, Some(frame));
+}
