--- a/crates/tier/tests/cut_off.rs
+++ b/crates/tier/tests/cut_off.rs
@@ -23,21 +23,6 @@
 /// Searches a second.
 const RATE: f64 = 90.0;
 
-fn search_tier(seed: u64) -> SimulationConfig {
-    SimulationConfig {
-        instances: 12,
-        small_instances: 0,
-        shards: 20,
-        replicas: 2,
-        service_time: Duration::from_millis(4),
-        objective: Duration::from_millis(120),
-        min_coverage: 0.89,
-        callers_return: true,
-        data_centres: 4,
-        seed,
-    }
-}
-
 /// Cuts instances off and checks how callers are served at these and at the others; returns both
 /// shares of first requests that were answered.
 fn served_shares(sim: &mut Simulation, cut: &[(usize, Cut)]) -> [f64; 2] {
@@ -70,9 +55,15 @@
 fn callers_of_cut_off_instances_are_served_by_the_others() {
     for seed in 1..=3 {
         let mut most: Vec<_> = (0..7).map(|it| (it, Cut::Hangs)).collect();
-        assert_served(&mut Simulation::new(search_tier(seed)), &most);
+        assert_served(
+            &mut Simulation::new(SimulationConfig::twelve_instances(seed)),
+            &most,
+        );
         most.iter_mut().for_each(|it| it.1 = Cut::Refuses);
-        assert_served(&mut Simulation::new(search_tier(seed)), &most);
+        assert_served(
+            &mut Simulation::new(SimulationConfig::twelve_instances(seed)),
+            &most,
+        );
     }
 }
 
@@ -81,7 +72,10 @@
 fn callers_of_a_cut_off_data_centre_are_served_by_the_others() {
     for (seed, how) in [(1, Cut::Hangs), (2, Cut::Refuses)] {
         let cut: Vec<_> = (0..12).step_by(4).map(|it| (it, how)).collect();
-        assert_served(&mut Simulation::new(search_tier(seed)), &cut);
+        assert_served(
+            &mut Simulation::new(SimulationConfig::twelve_instances(seed)),
+            &cut,
+        );
     }
 }
 
@@ -296,6 +290,9 @@
 fn callers_of_an_instance_whose_connections_break_are_served_by_the_others() {
     for seed in 1..=2 {
         let cut = [(0, Cut::Breaks), (5, Cut::Breaks)];
-        assert_served(&mut Simulation::new(search_tier(seed)), &cut);
+        assert_served(
+            &mut Simulation::new(SimulationConfig::twelve_instances(seed)),
+            &cut,
+        );
     }
 }
--- a/crates/tier/tests/limits.rs
+++ b/crates/tier/tests/limits.rs
@@ -28,16 +28,8 @@
 
 fn search_tier(seed: u64) -> SimulationConfig {
     SimulationConfig {
-        instances: 12,
-        small_instances: 0,
-        shards: 20,
-        replicas: 2,
         service_time: Duration::from_millis(8),
-        objective: Duration::from_millis(120),
-        min_coverage: 0.89,
-        callers_return: true,
-        data_centres: 4,
-        seed,
+        ..SimulationConfig::twelve_instances(seed)
     }
 }
 
--- a/crates/tier/tests/simulation/build.rs
+++ b/crates/tier/tests/simulation/build.rs
@@ -45,6 +45,22 @@
 }
 
 impl SimulationConfig {
+    /// Returns twelve instances and twenty shards with two replicas each, in four data centres.
+    pub(crate) fn twelve_instances(seed: u64) -> Self {
+        Self {
+            instances: 12,
+            small_instances: 0,
+            shards: 20,
+            replicas: 2,
+            service_time: Duration::from_millis(4),
+            objective: Duration::from_millis(120),
+            min_coverage: 0.89,
+            callers_return: true,
+            data_centres: 4,
+            seed,
+        }
+    }
+
     fn cpu_share(&self, instance: usize) -> f64 {
         match self.small_instances {
             0 => 1.0,
