tier, wire: errors of rates by snafu, and comments that say requests, not searches

Read as a newcomer would: handovers now carry requests of every kind, a field named for a time said nothing of what it was the time of, and the error of a rate was written by hand. No change of behaviour; the text of the error for a rate out of range names infinite ones too.

--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -22,7 +22,7 @@
     Send(Send<C::Request>),
     /// Cancels an attempt and closes its connection.
     Cancel(AttemptKey),
-    /// Hands a search, or some of its shards, over to another instance.
+    /// Hands a request, or some shards of a search, over to another instance.
     HandOver(HandOver<C::Request>),
     /// Notifies another instance that the answer to a search is no longer needed.
     Withdraw(CallId, InstanceName),
@@ -91,7 +91,7 @@
     pub connections: usize,
 }
 
-/// A search, or some of its shards, that another instance runs.
+/// A request, or some shards of a search, that another instance runs.
 #[derive(Debug)]
 pub struct HandOver<Q> {
     /// Identifier of the call.
@@ -104,13 +104,13 @@
     pub request: Q,
     /// Time by which the answer has to be sent.
     pub deadline: Time,
-    /// Version of the configuration that the search runs with.
+    /// Version of the configuration that the request runs with.
     pub version: u64,
     /// Whether the caller was refused before.
     pub was_refused: bool,
     /// Whether another instance may already have used one attempt of each part.
     pub may_have_run: bool,
-    /// The shards that the instance queries; `None` for the whole search.
+    /// The shards that the instance queries; `None` for the whole request.
     pub branch: Option<BranchRequest>,
 }
 
@@ -176,7 +176,7 @@
     NotReady,
     /// Too many upstreams are too slow or overloaded to reply in time.
     Overload,
-    /// This instance is cut off from its upstreams.
+    /// This instance is cut off from the upstreams, and no other one has taken the request.
     CutOff,
     /// Too few services have a usable upstream.
     NoUpstream,
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -18,7 +18,7 @@
 //! - [`shedding`] reduces the load of shards whose replies are late.
 //! - [`reachability`] detects that the instance is cut off from its upstreams.
 //! - [`failure_rate`] tracks lost replies and missing parts.
-//! - [`handover`] chooses the instance that runs a search.
+//! - [`handover`] chooses the instance that runs a search, or a request while this one is cut off.
 //! - [`branch`] chooses the shards that another instance queries.
 //! - [`pacing`] paces the calls that wait for changes on the platform.
 //! - [`watchers`] chooses the instances that watch the platform.
--- a/crates/tier/src/limit.rs
+++ b/crates/tier/src/limit.rs
@@ -12,6 +12,7 @@
 
 use base::Time;
 use rand::Rng;
+use snafu::{ResultExt, Snafu};
 
 /// Time for which a request that was allowed and not sent may still be sent.
 const LAPSE_TIME: Duration = Duration::from_millis(1_500);
@@ -34,11 +35,16 @@
 pub struct RequestRate(f64);
 
 /// Error of parsing a [`RequestRate`].
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Snafu)]
 pub enum RateError {
     /// The text is not a decimal number.
-    NotANumber(ParseFloatError),
+    #[snafu(display("expected a number of requests a second: {source}"))]
+    Number {
+        /// Error of the parser.
+        source: ParseFloatError,
+    },
     /// The number is negative, infinite or no number.
+    #[snafu(display("a number of requests a second must be finite and not negative"))]
     OutOfRange,
 }
 
@@ -60,22 +66,11 @@
     }
 }
 
-impl fmt::Display for RateError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::NotANumber(e) => write!(f, "expected a number of requests a second: {e}"),
-            Self::OutOfRange => f.write_str("a number of requests a second must not be negative"),
-        }
-    }
-}
-
-impl std::error::Error for RateError {}
-
 impl FromStr for RequestRate {
     type Err = RateError;
 
     fn from_str(text: &str) -> Result<Self, RateError> {
-        let per_second = text.trim().parse().map_err(RateError::NotANumber)?;
+        let per_second = text.trim().parse().context(NumberSnafu)?;
         Self::new(per_second).ok_or(RateError::OutOfRange)
     }
 }
@@ -110,7 +105,8 @@
     own_rate: f64,
     /// Requests that this instance may send now; at least one is needed to send one.
     allowance: f64,
-    allowed_at: Time,
+    /// Time of that allowance, which has grown since.
+    allowance_since: Time,
 }
 
 impl Limit {
@@ -124,7 +120,7 @@
             own_rate: own_rate(rate, share),
             // Instances that learn of it at once do not all send their first request at once.
             allowance: rng.random(),
-            allowed_at: now,
+            allowance_since: now,
         }
     }
 
@@ -143,7 +139,7 @@
     /// Changes the share of the limit that this instance has.
     pub fn set_share(&mut self, now: Time, share: f64) {
         self.allowance = self.allowance_at(now);
-        self.allowed_at = now;
+        self.allowance_since = now;
         self.own_rate = own_rate(self.rate, share);
     }
 
@@ -167,7 +163,7 @@
     pub fn take(&mut self, now: Time) {
         // A request that is sent regardless is made up for later.
         self.allowance = (self.allowance_at(now) - 1.0).max(-1.0);
-        self.allowed_at = now;
+        self.allowance_since = now;
     }
 
     /// Returns the allowance that is needed to send a request.
@@ -184,7 +180,7 @@
     }
 
     fn allowance_at(&self, now: Time) -> f64 {
-        let grown = self.allowance + self.own_rate * now.since(self.allowed_at).as_secs_f64();
+        let grown = self.allowance + self.own_rate * now.since(self.allowance_since).as_secs_f64();
         // Whole requests lapse, so that the times at which instances may send stay spread.
         grown - (grown - 1.0 - self.lapsing()).ceil().max(0.0)
     }
--- a/crates/tier/src/tier/relays.rs
+++ b/crates/tier/src/tier/relays.rs
@@ -42,8 +42,8 @@
         }
     }
 
-    /// Hands a call that has not run over to an instance that may reach the upstreams, if this one
-    /// does not; returns the call if it stays here.
+    /// Hands a call over to an instance that may reach the upstreams, if this one does not; returns
+    /// the call if it stays here.
     pub(super) fn relay(
         &mut self,
         now: Time,
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -1,4 +1,4 @@
-//! Messages of `briarcove edge`: searches handed over, and updates of the platform's objects.
+//! Messages of `briarcove edge`: requests handed over, and updates of the platform's objects.
 //!
 //! The instance that opens a connection sends [`Payload::HandOver`] and the other requests; the
 //! instance that accepts it sends the replies and the updates.
@@ -28,7 +28,8 @@
 /// A message without content is a `bool`, whose value is not read.
 #[derive(Clone, PartialEq, Oneof)]
 pub enum Payload {
-    /// Asks the receiver to run a search.
+    /// Asks the receiver to run a request: a search that it is better suited for, some shards of
+    /// one, or any request that the sender cannot run because it is cut off.
     #[prost(message, tag = "1")]
     HandOver(HandOver),
     /// The sender runs the search with this number; not sent for a search with a [`Branch`].
@@ -201,7 +202,7 @@
     pub upstreams_era: u64,
 }
 
-/// A search that the receiver runs for the sender.
+/// A request that the receiver runs for the sender.
 #[derive(Clone, PartialEq, Message)]
 pub struct HandOver {
     /// Number of the search, chosen by the sender and unique on the connection.
