--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -8,7 +8,6 @@
 //!
 //! - [`placement`] chooses the upstream of a request.
 //! - [`admit`] refuses requests and skips shards under overload.
-//! - [`fair_share`] divides the room among organisations when requests are refused; not in use yet.
 //! - [`hedge`] decides when a part is sent to a second upstream.
 //! - [`doubt`] tells whether a newer configuration may exist.
 //! - [`limit`] keeps to the limits that upstreams name.
@@ -47,7 +46,6 @@
 pub mod evacuation;
 pub mod event;
 pub mod failure_rate;
-pub mod fair_share;
 pub mod handover;
 pub mod hedge;
 pub mod homes;
--- a/crates/tier/tests/main.rs
+++ b/crates/tier/tests/main.rs
@@ -8,7 +8,6 @@
 mod cut_off;
 mod decisions;
 mod evacuation;
-mod fair_share;
 mod handover;
 mod instance;
 mod limits;
