tier: the plan of a branch does not depend on the order of a map; spreads of shards are compared strictly

The simulation differed between runs as branch::plan walked a hash map before it drew random numbers.

--- a/crates/tier/src/branch.rs
+++ b/crates/tier/src/branch.rs
@@ -6,7 +6,7 @@
 //! their greatest records as one reply. The reply also reports the admitted shares of these shards,
 //! as the few instances close to a shard observe its load best.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::BTreeMap, time::Duration};
 
 use base::{DataCentre, Time};
 use rand::{Rng, seq::SliceRandom};
@@ -39,7 +39,7 @@
 where
     I: Iterator<Item = &'a DataCentre>,
 {
-    let mut remote: HashMap<&DataCentre, Vec<usize>> = HashMap::new();
+    let mut remote: BTreeMap<&DataCentre, Vec<usize>> = BTreeMap::new();
     let mut data_centres: Vec<&DataCentre> = Vec::new();
     for (at, replicas) in replicas.enumerate() {
         data_centres.clear();
--- a/crates/tier/tests/load_reports.rs
+++ b/crates/tier/tests/load_reports.rs
@@ -101,6 +101,19 @@
     assert_eq!(with.by_report, 0, "{with:?}");
 }
 
+#[test]
+fn reports_spread_the_load_of_shards_no_less_evenly() {
+    let without = run(shards(), 250.0, None);
+    for age in [50, 500] {
+        let with = run(shards(), 250.0, Some(Duration::from_millis(age)));
+        println!("{age} ms: {with:?}, {without:?}");
+        assert!(
+            with.spread <= without.spread,
+            "{age} ms: {with:?}, {without:?}"
+        );
+    }
+}
+
 /// Twelve instances, each of which gets a reply from each upstream about once a second.
 #[test]
 fn requests_meet_fewer_others_with_reports() {
