rig, tests: the bound on cold upstreams holds with two builds, and a soak with crashes has cold returns again

Change: the former build of the two is now the last one that landed,, which knows the bound, so the check applies to all runs again.

--- a/crates/briarcove/tests/soak.rs
+++ b/crates/briarcove/tests/soak.rs
@@ -60,6 +60,16 @@
     run_with(CRASH_SEEDS.into_iter(), CRASH_LENGTH, true);
 }
 
+/// The same while each upstream that ended comes back cold.
+#[test]
+fn crashing_requests_are_sent_on_three_times_at_most_while_upstreams_return_cold() {
+    let options = Options {
+        returns_cold: true,
+        ..options("cold-crash-soak", CRASH_LENGTH, true)
+    };
+    run_seeds(CRASH_SEEDS.into_iter(), &options);
+}
+
 /// Guards against refusals of requests that other instances could serve. Two of three instances,
 /// or one, are cut off from all upstreams.
 #[test]
@@ -94,7 +104,7 @@
 }
 
 /// The last commit that landed before this build.
-const FORMER_COMMIT: &str = "5fa78e2";
+const FORMER_COMMIT: &str = "86b877c";
 
 /// Guards against messages and records that the build of the last landing gets wrong, or that this
 /// one gets wrong from it, while instances are upgraded, rolled back and upgraded again.
@@ -123,6 +133,7 @@
         folder: PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(folder),
         length,
         with_crashes,
+        returns_cold: false,
     }
 }
 
--- a/crates/rig/src/cli.rs
+++ b/crates/rig/src/cli.rs
@@ -133,6 +133,8 @@
     program: PathBuf,
     #[options(no_short, help = "end upstreams, and send requests that crash them")]
     crashes: bool,
+    #[options(no_short, help = "let upstreams that ended come back cold")]
+    cold_returns: bool,
     #[options(
         no_short,
         help = "start with the build of this commit, upgrade from it and roll back"
@@ -246,6 +248,7 @@
         folder: args.folder.clone(),
         length: Duration::from_secs_f64(args.seconds.clamp(1.0, MAX_SECONDS)),
         with_crashes: args.crashes,
+        returns_cold: args.cold_returns,
     };
     let end = args.seed + args.count;
     let next = AtomicU64::new(args.seed);
--- a/crates/rig/src/soak.rs
+++ b/crates/rig/src/soak.rs
@@ -70,6 +70,8 @@
     pub length: Duration,
     /// Whether upstreams end by themselves, and requests crash the upstreams that run them.
     pub with_crashes: bool,
+    /// Whether upstreams that have ended by themselves come back cold.
+    pub returns_cold: bool,
 }
 
 /// Result of a run.
@@ -144,6 +146,7 @@
     let has_organisations = seed % 4 >= 2 && options.former.is_none();
     let mut deployment =
         Deployment::start(programs, &folder, seed % 2 == 1, has_organisations, ends)?;
+    deployment.returns_cold = options.returns_cold;
     let callers = Arc::new(Callers::new(has_organisations));
     let mut handles = Vec::new();
     for (instance, site) in deployment.sites.iter().enumerate() {
@@ -191,7 +194,6 @@
         outages: &deployment.outages,
         cuts: &deployment.cut_off,
         disturbed: &deployment.disturbed,
-        cold_rate: deployment.cold_rate(),
         shards: SHARDS.len(),
         min_parts: (SHARDS.len() as f64 * MIN_COVERAGE).ceil() as usize,
     };
--- a/crates/rig/src/soak/announced.rs
+++ b/crates/rig/src/soak/announced.rs
@@ -8,6 +8,7 @@
 use super::{
     callers::{Kind, Outcome},
     check::Recording,
+    deployment::COLD_RATE,
 };
 use crate::edge::{Arrival, Behaviour, check_cold, check_limit};
 
@@ -42,7 +43,7 @@
                 || disturbed
                     .any(|(name, start, end)| name == upstream && *start < to && *end > from)
         });
-        is_exceeded.or_else(|| check_cold(&arrivals, recording.cold_rate?, COLD_SETTLE_TIME))
+        is_exceeded.or_else(|| check_cold(&arrivals, COLD_RATE, COLD_SETTLE_TIME))
     };
     incarnations.into_iter().filter_map(check).collect()
 }
--- a/crates/rig/src/soak/check.rs
+++ b/crates/rig/src/soak/check.rs
@@ -57,8 +57,6 @@
     pub(super) cuts: &'a [CutOff],
     /// Upstreams whose network path was disturbed, with the times from and until when.
     pub(super) disturbed: &'a [(String, Instant, Instant)],
-    /// Requests a second that cold upstreams bear; `None` if they are not bounded.
-    pub(super) cold_rate: Option<f64>,
     /// Number of shards of a search.
     pub(super) shards: usize,
     /// Minimum number of parts of a successful answer to a search.
--- a/crates/rig/src/soak/deployment.rs
+++ b/crates/rig/src/soak/deployment.rs
@@ -50,7 +50,7 @@
 const STALE_RECORDS: usize = 45;
 
 /// Requests a second that cold upstreams bear.
-const COLD_RATE: f64 = 4.0;
+pub(super) const COLD_RATE: f64 = 4.0;
 
 /// Time for which upstreams are cold after a start.
 const COLD_TIME: Duration = Duration::from_secs(3);
@@ -84,6 +84,8 @@
     version: u64,
     /// Whether the configuration has organisations.
     has_organisations: bool,
+    /// Whether upstreams that have ended by themselves come back cold.
+    pub(super) returns_cold: bool,
     seq: u64,
     programs: Programs,
     /// Whether each instance is paused.
@@ -158,6 +160,7 @@
             cut_off: Vec::new(),
             version: 0,
             has_organisations,
+            returns_cold: false,
             seq: 1,
             programs,
             paused: [false; CPU_SHARES.len()],
@@ -439,17 +442,11 @@
         };
         let options = ConfigOptions {
             organisations,
-            cold_rate: self.cold_rate().unwrap_or_default(),
+            cold_rate: COLD_RATE,
         };
         self.sites[0].configure_with(self.version, &routes, &services, &options);
     }
 
-    /// Returns the requests a second that cold upstreams bear. A former build may know no such
-    /// bound, so there is none in a run with two.
-    pub(super) fn cold_rate(&self) -> Option<f64> {
-        (!self.programs.has_former()).then_some(COLD_RATE)
-    }
-
     /// Returns a path that the route added last serves.
     pub(super) fn newest_route(&self) -> String {
         format!("/new-{}/1", self.version)
--- a/crates/rig/src/soak/deployment/ended.rs
+++ b/crates/rig/src/soak/deployment/ended.rs
@@ -2,7 +2,7 @@
 
 use std::{io, sync::atomic::Ordering, time::Instant};
 
-use super::Deployment;
+use super::{COLD_TIME, Deployment};
 use crate::soak::crashing::{ENTRY_LAPSE, Return};
 
 /// An upstream that has ended.
@@ -61,6 +61,9 @@
         }
         self.upstream_proxies[at].set_silent_end(ended.back.ends_silently_next);
         self.upstreams[at].restart(name);
+        if self.returns_cold {
+            self.upstreams[at].turn_cold(COLD_TIME);
+        }
         self.register(at, "ready");
     }
 
--- a/crates/rig/src/soak/upgrade.rs
+++ b/crates/rig/src/soak/upgrade.rs
@@ -56,11 +56,6 @@
         }
     }
 
-    /// Returns whether instances run two builds.
-    pub(super) fn has_former(&self) -> bool {
-        self.former.is_some()
-    }
-
     /// Sets the build that an instance runs from its next start on.
     pub(super) fn assign(&mut self, instance: usize, build: Build) {
         self.assigned[instance] = build;
