tier: a data centre that is cut off is noticed by one failure

An instance learned of the cut one ejected upstream or instance after the other, each at the cost of a search.

Change: tier::separation. A failed or overdue branch, handover or connection to another data centre has three upstreams of each silent data centre checked at once and two of its instances pinged; without any sign from it within 200 ms, or once all checks failed, its upstreams and instances are out of use together, until one answers. An instance that thereby lacks more shards than the most lenient search may miss is not ready. A starved instance concludes nothing; any reply or message disproves it. The notes 'a data centre is out of reach' and 'in reach again' are logged and counted.

--- a/crates/briarcove/src/edge/metrics.rs
+++ b/crates/briarcove/src/edge/metrics.rs
@@ -187,6 +187,8 @@
             Note::LimitsOwned(true, _) => "limits_owned",
             Note::LimitsOwned(false, _) => "limits_passed_on",
             Note::LenderSilent(..) => "lender_silent",
+            Note::Separated(..) => "separated",
+            Note::SeparationEnded(..) => "separation_ended",
             Note::CutOff => "cut_off",
             Note::Rejoined => "rejoined",
             Note::Evacuated { .. } => "evacuated",
--- a/crates/briarcove/src/edge/note_log.rs
+++ b/crates/briarcove/src/edge/note_log.rs
@@ -218,6 +218,13 @@
                     self.dropped.set(self.dropped.get() + 1);
                 }
             }
+            Note::Separated(data_centre) => warn!(self.log,
+                "a data centre is out of reach; none of its upstreams and instances is used";
+                "data_centre" => %data_centre),
+            Note::SeparationEnded(data_centre) => {
+                info!(self.log, "a data centre is in reach again";
+                "data_centre" => %data_centre)
+            }
             Note::CutOff => warn!(
                 self.log,
                 "no upstream replies; readiness checks fail until one does"
--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -118,9 +118,10 @@
         }
     }
 
-    /// Sends a ping to an instance.
-    pub(in crate::edge) fn ping(&self, name: &InstanceName) {
-        if let Some(peer) = self.0.borrow().get(name) {
+    /// Sends a ping to an instance, on a new connection if there is none.
+    pub(in crate::edge) fn ping(&self, shell: &Rc<Shell>, name: &InstanceName) {
+        if let Some(address) = shell.instance_address(name) {
+            let peer = self.get_or_connect(shell, name, address);
             peer.channel.push(Item::Payload(Payload::Ping(true)));
         }
     }
--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -3,12 +3,13 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet, VecDeque},
+    net::SocketAddr,
     path::PathBuf,
     rc::Rc,
     time::{Duration, Instant},
 };
 
-use base::{CallId, Time};
+use base::{CallId, InstanceName, Time};
 use compio::runtime::{JoinHandle, spawn};
 use futures_channel::oneshot;
 use pipe::{ByteBudget, ReadBuf};
@@ -127,6 +128,11 @@
         self.tier.borrow().is_ready()
     }
 
+    /// Returns the address of another instance, if it is known.
+    pub(super) fn instance_address(&self, name: &InstanceName) -> Option<SocketAddr> {
+        self.tier.borrow().instance_address(name)
+    }
+
     /// Returns whether answers should close the caller's connection, so that the caller reconnects
     /// to another instance.
     pub(super) fn is_out_of_service(&self) -> bool {
@@ -250,7 +256,7 @@
             Effect::Withdraw(call, from) => self.peers.withdraw(call, &from),
             Effect::Disconnect(name) => self.peers.disconnect(self, &name),
             Effect::Confirm(call, to) => self.peers.confirm(call, &to),
-            Effect::Ping(name) => self.peers.ping(&name),
+            Effect::Ping(name) => self.peers.ping(self, &name),
             Effect::Ask(to, asked) => self.peers.ask(self, &to, asked),
             Effect::Forget(upstream) => self.pools.forget(upstream),
             Effect::CloseIdle(upstream) => self.pools.close_idle(upstream),
--- a/crates/tier/src/directory.rs
+++ b/crates/tier/src/directory.rs
@@ -1,7 +1,7 @@
 //! Directory of the known upstreams, by service.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeSet, HashMap, HashSet},
     time::Duration,
 };
 
@@ -306,6 +306,36 @@
         }
     }
 
+    /// Records whether this instance reaches a data centre. Upstreams that are in reach again are
+    /// used at once, as their failures are explained.
+    pub fn set_separated(&mut self, now: Time, data_centre: &DataCentre, is_separated: bool) {
+        for upstream in self.upstreams.values_mut() {
+            if upstream.entry.data_centre == *data_centre {
+                upstream.is_separated = is_separated;
+                if !is_separated {
+                    upstream.succeeded();
+                    upstream.ejected_until = now;
+                }
+            }
+        }
+    }
+
+    /// Returns the data centres of all upstreams.
+    pub fn data_centres(&self) -> impl Iterator<Item = &DataCentre> {
+        let all = self.upstreams.values();
+        let all: BTreeSet<&DataCentre> = all.map(|it| &it.entry.data_centre).collect();
+        all.into_iter()
+    }
+
+    /// Returns the upstreams in a data centre that are in service.
+    pub fn in_data_centre(
+        &self,
+        data_centre: &DataCentre,
+    ) -> impl Iterator<Item = (UpstreamKey, &Upstream)> {
+        let is_there = |up: &Upstream| up.entry.data_centre == *data_centre && up.is_in_service();
+        self.upstreams.iter().filter(move |(_, up)| is_there(up))
+    }
+
     /// Returns whether the evacuated data centres are known.
     pub fn knows_evacuations(&self) -> bool {
         self.evacuations.are_known()
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -422,6 +422,10 @@
     LimitsOwned(bool, f64),
     /// A lender does not reply to questions for tokens; another one is asked.
     LenderSilent(InstanceName),
+    /// Nothing in a data centre replies; its upstreams and instances are out of use.
+    Separated(DataCentre),
+    /// A data centre replies again.
+    SeparationEnded(DataCentre),
     /// No upstream replies, or too few shards are reachable; this instance is not ready.
     CutOff,
     /// Enough upstreams reply again.
--- a/crates/tier/src/handover.rs
+++ b/crates/tier/src/handover.rs
@@ -103,6 +103,14 @@
     /// Ejections in a row since its last activity.
     ejections: u32,
     ejected_until: Time,
+    /// Whether this instance does not reach its data centre.
+    is_separated: bool,
+}
+
+impl Peer {
+    fn is_usable(&self, now: Time) -> bool {
+        self.ejected_until <= now && !self.is_separated
+    }
 }
 
 /// All instances.
@@ -152,6 +160,7 @@
                         last_activity: None,
                         ejections: 0,
                         ejected_until: Time::ZERO,
+                        is_separated: false,
                     }
                 })
             })
@@ -227,7 +236,7 @@
         let mut best: Option<(&Peer, f64)> = None;
         for peer in &self.peers {
             let cpu_share = peer.instance.cpu_share;
-            if cpu_share < own.cpu_share * MIN_CPU_RATIO || peer.ejected_until > now {
+            if cpu_share < own.cpu_share * MIN_CPU_RATIO || !peer.is_usable(now) {
                 continue;
             }
             let Some(replica_share) = replica_share(&peer.instance) else {
@@ -261,7 +270,7 @@
             instance.data_centre == *data_centre
                 && instance.cpu_share >= cpu_share
                 && instance.protocol >= needed
-                && peer.ejected_until <= now
+                && peer.is_usable(now)
         };
         let mut best: Option<(&Peer, f64)> = None;
         for peer in self.peers.iter().filter(is_eligible) {
@@ -298,7 +307,7 @@
     pub fn collectors(&self, now: Time, own: &str, digest: u64) -> Vec<&Instance> {
         let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), digest);
         let own_rank = rank(own);
-        let usable = self.peers.iter().filter(|peer| peer.ejected_until <= now);
+        let usable = self.peers.iter().filter(|peer| peer.is_usable(now));
         let mut ranked: Vec<(u64, &Instance)> = usable
             .map(|peer| (rank(peer.instance.name.as_str()), &peer.instance))
             .collect();
@@ -313,7 +322,7 @@
     /// Returns whether this instance comes first among the collectors of a request.
     pub fn is_first_collector(&self, now: Time, own: &str, digest: u64) -> bool {
         let rank = |name: &str| xxh3_64_with_seed(name.as_bytes(), digest);
-        let mut usable = self.peers.iter().filter(|peer| peer.ejected_until <= now);
+        let mut usable = self.peers.iter().filter(|peer| peer.is_usable(now));
         usable.all(|peer| rank(own) < rank(peer.instance.name.as_str()))
     }
 
@@ -370,6 +379,32 @@
         true
     }
 
+    /// Returns the names of the instances in a data centre that are not ejected.
+    pub fn in_data_centre(
+        &self,
+        now: Time,
+        data_centre: &DataCentre,
+    ) -> impl Iterator<Item = &InstanceName> {
+        let peers = self.peers.iter();
+        let there = peers
+            .filter(move |it| it.instance.data_centre == *data_centre && it.ejected_until <= now);
+        there.map(|peer| &peer.instance.name)
+    }
+
+    /// Records whether this instance reaches a data centre. Instances that are in reach again are
+    /// used at once.
+    pub fn set_separated(&mut self, now: Time, data_centre: &DataCentre, is_separated: bool) {
+        for peer in &mut self.peers {
+            if peer.instance.data_centre == *data_centre {
+                peer.is_separated = is_separated;
+                if !is_separated {
+                    peer.ejections = 0;
+                    peer.ejected_until = now;
+                }
+            }
+        }
+    }
+
     fn find(&mut self, name: &InstanceName) -> Option<&mut Peer> {
         self.peers
             .iter_mut()
--- a/crates/tier/src/handover/relay.rs
+++ b/crates/tier/src/handover/relay.rs
@@ -71,7 +71,7 @@
         may_run: impl Fn(&Instance) -> bool,
     ) -> Option<&Instance> {
         let seed = xxh3_64(own_name.as_bytes());
-        let is_ejected = |peer: &Peer| peer.ejected_until > now;
+        let is_ejected = |peer: &Peer| !peer.is_usable(now);
         let ejected = self.peers.iter().filter(|peer| is_ejected(peer));
         let doubtful: HashSet<&DataCentre> =
             ejected.map(|peer| &peer.instance.data_centre).collect();
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -20,6 +20,7 @@
 //! - [`budget`] limits extra attempts.
 //! - [`delay`] observes how long the way to callers and other instances takes.
 //! - [`crash`] quarantines requests that crash upstreams.
+//! - [`separation`] detects data centres that the instance no longer reaches.
 //! - [`send_order`] sends the parts of urgent searches first.
 //! - [`shedding`] reduces the load of shards whose replies are late.
 //! - [`reachability`] detects that the instance is cut off from its upstreams.
@@ -61,6 +62,7 @@
 pub mod reachability;
 pub mod retry_after;
 pub mod send_order;
+pub mod separation;
 pub mod settings;
 pub mod shedding;
 pub mod split;
--- a/crates/tier/src/reachability.rs
+++ b/crates/tier/src/reachability.rs
@@ -73,9 +73,16 @@
     }
 
     /// Sets the number of unreachable shards of an index; returns whether [`Self::lacks_shards`]
-    /// changes.
-    pub fn set_unreachable_shards(&mut self, unreachable: usize, shards: usize) -> bool {
-        let lacks_shards = unreachable * MAX_UNREACHABLE_DIVISOR > shards;
+    /// changes. While data centres are known to be out of reach, more than `tolerated` are too many:
+    /// no search could be served, but others may reach the shards.
+    pub fn set_unreachable_shards(
+        &mut self,
+        unreachable: usize,
+        shards: usize,
+        tolerated: Option<usize>,
+    ) -> bool {
+        let lacks_shards = unreachable * MAX_UNREACHABLE_DIVISOR > shards
+            || tolerated.is_some_and(|tolerated| unreachable > tolerated);
         std::mem::replace(&mut self.lacks_shards, lacks_shards) != lacks_shards
     }
 
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -14,15 +14,17 @@
 mod quotas;
 mod relays;
 mod sending;
+mod separations;
 mod updates;
 
 use std::{
     collections::{HashMap, VecDeque},
+    net::SocketAddr,
     rc::Rc,
     time::Duration,
 };
 
-use base::{CallId, DataCentre, ServiceName, Time};
+use base::{CallId, DataCentre, InstanceName, ServiceName, Time};
 use quotas::Quotas;
 use rand::{SeedableRng, rngs::SmallRng};
 use slotmap::SlotMap;
@@ -47,6 +49,7 @@
     reachability::Reachability,
     retry_after::RetrySchedule,
     send_order::SendOrder,
+    separation::Separations,
     settings::Settings,
     shedding::{self, ShardShedding},
     split::Split,
@@ -95,6 +98,9 @@
     starvation: Starvation,
     frequency: Frequency,
     reachability: Reachability,
+    separations: Separations,
+    /// Time of the next checks of separated data centres.
+    return_check_at: Time,
     /// Whether a timer for the next probe is set.
     is_probe_scheduled: bool,
     timers: Timers,
@@ -134,6 +140,8 @@
             starvation: Starvation::default(),
             frequency: Frequency::default(),
             reachability: Reachability::default(),
+            separations: Separations::default(),
+            return_check_at: Time::ZERO,
             is_probe_scheduled: false,
             timers: Timers::default(),
             rng: SmallRng::seed_from_u64(seed),
@@ -175,7 +183,7 @@
             Event::Confirmed(id) => self.on_confirmed(id, effects),
             Event::InstanceAlive(name) => {
                 self.acceptance.accepted(now, &name);
-                self.instances.mark_alive(now, &name);
+                self.on_sign_of_instance(now, &name, effects);
             }
             Event::Quarantine(digest) => self.on_quarantine(now, digest, effects),
             Event::CrashReported(from, crash) => self.on_crash_reported(now, &from, crash, effects),
@@ -228,7 +236,7 @@
                 .is_some_and(|call| call.remote_instance().is_some()),
             Due::CheckSuspect(key) => suspicions.has(*key),
             Due::CheckCold(key) | Due::Warm(key) => is_cold(*key),
-            Due::Removals | Due::Probe | Due::Claims | Due::SendWaiting => true,
+            Due::Removals | Due::Probe | Due::Claims | Due::SendWaiting | Due::Separation => true,
         })
     }
 
@@ -269,6 +277,11 @@
         self.attempts.len()
     }
 
+    /// Returns the address of another instance, if it is known.
+    pub fn instance_address(&self, name: &InstanceName) -> Option<SocketAddr> {
+        self.instances.get(name).map(|instance| instance.address)
+    }
+
     /// Returns the number of instances, this one included, if it is known.
     pub fn instances(&self) -> Option<usize> {
         self.instances.count()
@@ -311,6 +324,7 @@
                 Due::Deadline(id) => self.on_deadline(now, id, effects),
                 Due::Close(attempt) => self.on_close(now, attempt, effects),
                 Due::SendWaiting => self.on_send_due(now, effects),
+                Due::Separation => self.on_separation_due(now, effects),
                 Due::Probe => self.on_probe_due(effects, now),
                 Due::Removals => self.on_removals(now, effects),
                 Due::Token(id) => self.on_token_due(now, id, effects),
--- a/crates/tier/src/tier/branches.rs
+++ b/crates/tier/src/tier/branches.rs
@@ -244,15 +244,17 @@
     ) {
         match end {
             HandOverOutcome::Answer(reply) => {
-                self.instances.mark_alive(now, &to);
+                self.on_sign_of_instance(now, &to, effects);
                 self.take_branch_reply(now, id, reply);
                 self.settle(now, id, effects);
             }
             HandOverOutcome::Declined => {
+                self.suspect_instance(now, &to, id, effects);
                 self.eject_instance(now, to, effects);
                 self.query_remote_shards(now, id, effects);
             }
             HandOverOutcome::Broken => {
+                self.suspect_instance(now, &to, id, effects);
                 // The instance may already have used up the attempts of these shards.
                 self.eject_instance(now, to, effects);
                 self.fail_branch(id);
--- a/crates/tier/src/tier/handovers.rs
+++ b/crates/tier/src/tier/handovers.rs
@@ -154,7 +154,7 @@
         };
         match end {
             HandOverOutcome::Answer(reply) => {
-                self.instances.mark_alive(now, &to);
+                self.on_sign_of_instance(now, &to, effects);
                 let Some(mut call) = self.calls.remove(&id) else {
                     return;
                 };
@@ -168,6 +168,7 @@
                 effects.push(Effect::Answer(id, Answer::Reply(reply)));
             }
             HandOverOutcome::Declined => {
+                self.suspect_instance(now, &to, id, effects);
                 self.eject_instance(now, to, effects);
                 self.redispatch(now, id, false, effects);
             }
@@ -177,6 +178,7 @@
                         || self.instances.is_alive_since(&to, call.handed_at)
                         || call.may_have_run_elsewhere
                 });
+                self.suspect_instance(now, &to, id, effects);
                 self.eject_instance(now, to, effects);
                 if may_have_begun {
                     // The instance may already have used up the attempts of all parts.
@@ -195,6 +197,7 @@
         };
         if let Some(to) = call.remote_instance().cloned() {
             call.alive_since = now;
+            self.suspect_instance(now, &to, id, effects);
             effects.push(Effect::Ping(to));
             self.timers.set(now + PING_TIMEOUT, Due::Silent(id));
         }
--- a/crates/tier/src/tier/outcomes.rs
+++ b/crates/tier/src/tier/outcomes.rs
@@ -40,6 +40,7 @@
         match outcome {
             Outcome::Reply(_) | Outcome::Failed(Failure::NotRun | Failure::Misdirected) => {
                 self.on_upstream_replied(now, effects);
+                self.on_sign_of_upstream(now, attempt.upstream, effects);
             }
             Outcome::Failed(_) => {}
         }
@@ -144,6 +145,7 @@
                 upstream.down_at = Some(now);
                 effects.push(Effect::CloseIdle(key));
                 self.presume_cold(now, key, effects);
+                self.suspect_upstream(now, key, attempt.sent, effects);
                 if self.suspicions.has(key) {
                     self.timers.set(now, Due::CheckSuspect(key));
                 }
--- a/crates/tier/src/tier/updates.rs
+++ b/crates/tier/src/tier/updates.rs
@@ -6,7 +6,7 @@
 use base::{ServiceName, Time, UpstreamName};
 use rand::Rng;
 
-use super::Tier;
+use super::{Tier, separations::most_missing};
 use crate::{
     config::{Config, Target},
     crash::suspicion::ProbeResult,
@@ -314,6 +314,13 @@
     ) {
         let is_up = result == ProbeResult::Accepted;
         self.on_presumed_cold_checked(now, key, result, effects);
+        match result {
+            ProbeResult::Accepted => self.on_sign_of_upstream(now, key, effects),
+            ProbeResult::Refused | ProbeResult::Unanswered => {
+                self.on_separation_checked(now, key, effects);
+            }
+            ProbeResult::Unsent => {}
+        }
         if !self.reachability.is_cut_off() && !self.reachability.lacks_shards() {
             return;
         }
@@ -355,7 +362,14 @@
         let shards = indexes.into_iter().next();
         let total = shards.map_or(0, |shards| shards.len());
         let unreachable = shards.map_or(0, |shards| shards.iter().filter(is_unreachable).count());
-        if self.reachability.set_unreachable_shards(unreachable, total) {
+        let tolerated = match self.separations.any() {
+            true => most_missing(&config),
+            false => None,
+        };
+        if self
+            .reachability
+            .set_unreachable_shards(unreachable, total, tolerated)
+        {
             let lacks_shards = self.reachability.lacks_shards();
             effects.push(Effect::Note(if lacks_shards {
                 Note::CutOff
--- a/crates/tier/src/timers.rs
+++ b/crates/tier/src/timers.rs
@@ -29,6 +29,8 @@
     SendWaiting,
     /// Reachability is checked, and upstreams are probed while the instance is cut off.
     Probe,
+    /// Checks of other data centres are over, or due again.
+    Separation,
     /// Removals are no longer held.
     Removals,
     /// A call that waits for a token of its organisation's limit waits no longer.
--- a/crates/tier/src/upstream.rs
+++ b/crates/tier/src/upstream.rs
@@ -77,6 +77,8 @@
     pub is_leaving: bool,
     /// Whether its data centre is evacuated.
     pub is_evacuated: bool,
+    /// Whether this instance does not reach its data centre.
+    pub is_separated: bool,
     /// Time until which it accepts no requests from this instance, as it has announced.
     pub paused_until: Time,
     /// The limit that it names in its replies.
@@ -109,6 +111,7 @@
             full_until: Time::ZERO,
             is_leaving: false,
             is_evacuated: false,
+            is_separated: false,
             paused_until: Time::ZERO,
             limit: None,
             cold: None,
@@ -123,7 +126,10 @@
 
     /// Returns whether it may be sent new requests, as far as its limits allow them.
     pub fn is_usable(&self, now: Time) -> bool {
-        self.accepts(now) && self.ejected_until <= now && self.full_until <= now
+        self.accepts(now)
+            && !self.is_separated
+            && self.ejected_until <= now
+            && self.full_until <= now
     }
 
     /// Returns whether it may be sent a request now, also by the limit that it names and the rate
@@ -179,9 +185,9 @@
         self.rejection_rate = FailureRate::default();
     }
 
-    /// Returns whether it has been ejected and has not succeeded since.
+    /// Returns whether it is out of reach, or has been ejected and has not succeeded since.
     pub fn is_failing(&self) -> bool {
-        self.ejections > 0
+        self.is_separated || self.ejections > 0
     }
 
     /// Records a success, which resets the failures and ejections in a row.
--- a/crates/tier/tests/main.rs
+++ b/crates/tier/tests/main.rs
@@ -17,6 +17,7 @@
 mod organisations;
 mod overload;
 mod quota;
+mod separation;
 mod simulation;
 mod urgency;
 mod watchers;
