tier, edge: mechanisms can be switched off; refusals for overload say why

All are on by default; what guards a promise has no switch. Calls that are refused for overload carry the number of unusable shards, how many could be skipped, and the refused share, in the log field 'overload'.

--- a/crates/briarcove/src/args.rs
+++ b/crates/briarcove/src/args.rs
@@ -9,6 +9,7 @@
 use base::Revision;
 use gumdrop::Options;
 use snafu::Snafu;
+use tier::mechanism::Disabled;
 
 /// Query tier over many shards.
 #[derive(Debug, Options)]
@@ -70,6 +71,13 @@
         help = "settings of the platform; otherwise BRIARCOVE_CONFIG names them"
     )]
     pub settings: Option<PathBuf>,
+    /// Mechanisms to switch off.
+    #[options(
+        no_short,
+        meta = "NAMES",
+        help = "switch these mechanisms off, separated by commas (docs/OPERATIONS.md)"
+    )]
+    pub disable: Disabled,
 }
 
 /// Reports all findings of settings and catalogues with their places.
--- a/crates/briarcove/src/edge.rs
+++ b/crates/briarcove/src/edge.rs
@@ -56,7 +56,7 @@
             return Exit::Unreachable;
         }
     };
-    let shell = Shell::new(cfg, path, logs.logger());
+    let shell = Shell::new(cfg, path, args.disable, logs.logger());
     let exit = event_loop::block_on(&runtime, &shell, serve(Rc::clone(&shell), signals));
     drop(shell);
     drop(logs);
@@ -82,6 +82,7 @@
     };
     info!(log, "instance started"; "instance" => &*cfg.instance,
         "data_centre" => &*cfg.data_centre, "version" => env!("CARGO_PKG_VERSION"));
+    signals::warn_of_disabled(&shell);
     spawn(callers::accept(Rc::clone(&shell), callers)).detach();
     spawn(ops::accept(Rc::clone(&shell), readiness)).detach();
     spawn(ops::accept(Rc::clone(&shell), metrics)).detach();
--- a/crates/briarcove/src/edge/note_log.rs
+++ b/crates/briarcove/src/edge/note_log.rs
@@ -5,7 +5,7 @@
 use base::{Time, UpstreamName};
 use platform::reply::InvalidAnnouncement;
 use slog::{Logger, info, warn};
-use tier::{Note, effect::CallSummary};
+use tier::{Note, admit::Overload, effect::CallSummary};
 
 /// One in this many successful requests is logged.
 const SUCCESS_SAMPLE: u64 = 64;
@@ -295,7 +295,7 @@
             "extra" => ended.extra, "late" => ended.late,
             "beside" => ended.branch_instance.as_ref().map_or("", |name| name.as_str()),
             "via" => ended.via.as_ref().map_or("", |name| name.as_str()),
-            "trail" => format_attempts(ended));
+            "trail" => format_attempts(ended), "overload" => format_overload(ended.overload));
     }
 
     /// Counts a line and returns whether it is within the limit of the current second.
@@ -309,6 +309,19 @@
     }
 }
 
+/// Formats why a call was refused for overload.
+fn format_overload(overload: Option<Overload>) -> String {
+    overload.map_or_else(String::new, |why| {
+        let skippable = why
+            .skippable
+            .map_or("too few".into(), |count| count.to_string());
+        format!(
+            "{} shards unusable, {skippable} to skip, {:.2} refused",
+            why.unusable, why.refused_share
+        )
+    })
+}
+
 /// Formats the attempts that did not contribute to the answer.
 fn format_attempts(ended: &CallSummary) -> String {
     let shown = ended
--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -18,6 +18,7 @@
 use slog::Logger;
 use tier::{
     Answer, AttemptKey, Effect, Event, Settings, Tier, UpstreamKey,
+    mechanism::Disabled,
     quota::{Question, Reply},
 };
 use wire::handover::{Payload, Quarantined, ReplyReport};
@@ -73,11 +74,20 @@
 }
 
 impl Shell {
-    pub(super) fn new(cfg: platform::Settings, settings_path: PathBuf, log: Logger) -> Rc<Self> {
+    pub(super) fn new(
+        cfg: platform::Settings,
+        settings_path: PathBuf,
+        disabled: Disabled,
+        log: Logger,
+    ) -> Rc<Self> {
         let seed = random_seed(&log);
+        let settings = Settings {
+            disabled,
+            ..tier_settings(&cfg)
+        };
         let reply_bytes = cfg.max_memory / MEMORY_PER_REPLY_BYTES;
         Rc::new(Self {
-            tier: RefCell::new(Tier::new(tier_settings(&cfg), seed)),
+            tier: RefCell::new(Tier::new(settings, seed)),
             cfg: RefCell::new(cfg),
             settings_path,
             note_log: NoteLog::new(log.clone()),
@@ -124,6 +134,11 @@
         items.choose_multiple(&mut *self.rng.borrow_mut(), count)
     }
 
+    /// Returns the mechanisms that are switched off.
+    pub(super) fn disabled(&self) -> Disabled {
+        self.tier.borrow().settings().disabled
+    }
+
     pub(super) fn is_ready(&self) -> bool {
         self.tier.borrow().is_ready()
     }
--- a/crates/briarcove/src/edge/signals.rs
+++ b/crates/briarcove/src/edge/signals.rs
@@ -43,6 +43,14 @@
     .detach();
 }
 
+/// Logs which mechanisms are switched off, if any.
+pub(super) fn warn_of_disabled(shell: &Shell) {
+    let disabled = shell.disabled();
+    if !disabled.is_empty() {
+        warn!(shell.log, "mechanisms are switched off"; "disabled" => %disabled);
+    }
+}
+
 /// Returns the modification time and size of the settings file.
 fn file_version(shell: &Shell) -> Option<(std::time::SystemTime, u64)> {
     let meta = std::fs::metadata(&shell.settings_path).ok()?;
@@ -57,6 +65,7 @@
             info!(shell.log, "settings reloaded"; "why" => reason, "changed" => changed);
             shell.dispatch(Event::Settings(tier_settings(&cfg)));
             *shell.cfg.borrow_mut() = cfg;
+            warn_of_disabled(shell);
         }
         Err(findings) => {
             warn!(shell.log, "ignoring an invalid settings file; keeping the previous settings";
--- a/crates/tier/src/admit.rs
+++ b/crates/tier/src/admit.rs
@@ -48,17 +48,29 @@
 }
 
 /// The decision for a whole search.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub enum Admission {
     /// The search is sent, with a decision for each shard.
     Admit(Vec<ShardDecision>),
     /// The search is refused: too few shards are expected to reply in time, or too many are
     /// overloaded.
-    Overloaded,
+    Overloaded(Overload),
     /// The search is refused: too few shards have a usable upstream.
     Down,
 }
 
+/// Why a search is refused for overload.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Overload {
+    /// Number of shards that are down or expected to be late.
+    pub unusable: usize,
+    /// Number of shards that searches may skip, less those and the ones that are likely to be
+    /// missed; `None` if there are more of those.
+    pub skippable: Option<usize>,
+    /// Share of searches that is refused.
+    pub refused_share: f64,
+}
+
 /// Requirements of a search.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct SearchRequirements {
@@ -70,6 +82,10 @@
     pub reserve: usize,
     /// Whether the caller was refused before.
     pub was_refused: bool,
+    /// Whether some searches query shards although these are expected to be late.
+    pub allows_trials: bool,
+    /// Whether overloaded shards are skipped.
+    pub allows_skipping: bool,
 }
 
 /// Decides whether a search is admitted, and which of its shards are skipped.
@@ -79,7 +95,7 @@
     if shards.len() < min_parts + down {
         return Admission::Down;
     }
-    let is_trial = rng.random::<f64>() < TRIAL_SHARE;
+    let is_trial = rng.random::<f64>() < TRIAL_SHARE && required.allows_trials;
     let mut decisions = vec![ShardDecision::Send; shards.len()];
     let mut forced = 0;
     for (at, shard) in shards.iter().enumerate() {
@@ -93,7 +109,11 @@
         decisions[at] = ShardDecision::Skip;
     }
     let Some(skippable) = (shards.len() - min_parts).checked_sub(forced) else {
-        return Admission::Overloaded;
+        return Admission::Overloaded(Overload {
+            unusable: forced,
+            skippable: None,
+            refused_share: 1.0,
+        });
     };
     let skippable = skippable.saturating_sub(required.reserve);
     let ratio = if required.was_refused {
@@ -101,10 +121,17 @@
     } else {
         1.0
     };
-    if rng.random::<f64>() < ratio * refused_share(shards, &decisions, skippable) {
-        return Admission::Overloaded;
+    let refused_share = ratio * refused_share(shards, &decisions, skippable);
+    if rng.random::<f64>() < refused_share {
+        return Admission::Overloaded(Overload {
+            unusable: forced,
+            skippable: Some(skippable),
+            refused_share,
+        });
+    }
+    if required.allows_skipping {
+        skip_overloaded(shards, skippable, &mut decisions, rng);
     }
-    skip_overloaded(shards, skippable, &mut decisions, rng);
     Admission::Admit(decisions)
 }
 
--- a/crates/tier/src/call.rs
+++ b/crates/tier/src/call.rs
@@ -5,6 +5,7 @@
 use base::{InstanceName, OrganisationName, ServiceName, Time};
 
 use crate::{
+    admit::Overload,
     completion::Progress,
     config::Config,
     effect::FailedAttempt,
@@ -64,6 +65,8 @@
     /// Parts that admission control skipped.
     pub(crate) skipped: usize,
     pub(crate) failed_attempts: Vec<FailedAttempt>,
+    /// Why the call was refused for overload, if it was.
+    pub(crate) overload: Option<Overload>,
 }
 
 /// Shards of a search that another instance queries.
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 
 use crate::{
+    admit::Overload,
     cold,
     crash::Crash,
     event::{AttemptKey, Failure, Protocol},
@@ -312,6 +313,8 @@
     pub branch_instance: Option<InstanceName>,
     /// Attempts that failed or were still in flight.
     pub failed_attempts: Vec<FailedAttempt>,
+    /// Why the call was refused for overload, if it was.
+    pub overload: Option<Overload>,
 }
 
 /// An attempt without a usable reply.
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -17,6 +17,7 @@
 //! - [`quota`] divides the limits of organisations among all instances.
 //! - [`completion`] decides when a search is answered or fails.
 //! - [`retry_after`] gives refused callers the time of their next attempt.
+//! - [`mechanism`] switches single decisions off.
 //! - [`budget`] limits extra attempts.
 //! - [`delay`] observes how long the way to callers and other instances takes.
 //! - [`crash`] quarantines requests that crash upstreams.
@@ -53,6 +54,7 @@
 pub mod latency;
 pub mod limit;
 pub mod load_report;
+pub mod mechanism;
 pub mod merge;
 pub mod notice;
 pub mod organisation;
--- a/crates/tier/src/placement.rs
+++ b/crates/tier/src/placement.rs
@@ -10,7 +10,10 @@
 use base::Time;
 use rand::Rng;
 
-use crate::upstream::{Upstream, UpstreamKey};
+use crate::{
+    mechanism::{Disabled, Mechanism},
+    upstream::{Upstream, UpstreamKey},
+};
 
 /// Cost of an upstream that is unhealthy or in another data centre, as a multiple of the mean
 /// latency.
@@ -46,9 +49,27 @@
     pub expected: Duration,
 }
 
+/// From where upstreams are chosen, and by what.
+#[derive(Clone, Copy, Debug)]
+pub struct Chooser<'a> {
+    /// The local data centre.
+    pub data_centre: &'a str,
+    /// Mechanisms that are switched off.
+    pub disabled: Disabled,
+}
+
 /// Returns the expected time until an upstream replies to a request sent now.
-pub fn expected(now: Time, upstream: &Upstream, mean_latency: Duration) -> Duration {
-    let mut time = mean_latency.mul_f64(upstream.latency_ratio.get(now));
+fn expected(
+    now: Time,
+    upstream: &Upstream,
+    mean_latency: Duration,
+    disabled: Disabled,
+) -> Duration {
+    let ratio = match disabled.allows(Mechanism::LatencyPlacement) {
+        true => upstream.latency_ratio.get(now),
+        false => 1.0,
+    };
+    let mut time = mean_latency.mul_f64(ratio);
     if upstream.cold_until > now {
         time = time.max(mean_latency.mul_f64(COLD_LATENCY_RATIO));
     }
@@ -75,19 +96,22 @@
 pub fn choose<'a>(
     now: Time,
     upstreams: impl Iterator<Item = (UpstreamKey, &'a Upstream)>,
-    data_centre: &str,
+    chooser: Chooser<'_>,
     mean_latency: Duration,
     rng: &mut impl Rng,
 ) -> Option<Candidate> {
     let mut best: Option<(Candidate, Duration)> = None;
     for (key, upstream) in upstreams {
-        let expected = expected(now, upstream, mean_latency);
+        let expected = expected(now, upstream, mean_latency, chooser.disabled);
         let mut cost = expected + mean_latency.mul_f64(JITTER_SHARE * rng.random::<f64>());
-        let is_local = upstream.entry.data_centre.as_str() == data_centre;
+        let is_local = upstream.entry.data_centre.as_str() == chooser.data_centre
+            || !chooser.disabled.allows(Mechanism::LocalPlacement);
         if !is_local || !upstream.is_healthy(now) {
             cost += mean_latency.mul_f64(REMOTE_COST);
         }
-        cost += mean_latency.mul_f64(LOSS_COST * upstream.loss_rate.get(now));
+        if chooser.disabled.allows(Mechanism::LossPlacement) {
+            cost += mean_latency.mul_f64(LOSS_COST * upstream.loss_rate.get(now));
+        }
         if upstream
             .replied_at
             .is_none_or(|at| now.since(at) >= CONNECTION_KEPT)
--- a/crates/tier/src/settings.rs
+++ b/crates/tier/src/settings.rs
@@ -4,6 +4,8 @@
 
 use base::{DataCentre, RegionName};
 
+use crate::{mechanism::Disabled, placement::Chooser};
+
 /// Settings of the reducer; values from the platform replace the defaults.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
@@ -49,6 +51,8 @@
     pub linger: Duration,
     /// Maximum time until a connection to an upstream is available.
     pub connect_timeout: Duration,
+    /// Mechanisms that an operator has switched off.
+    pub disabled: Disabled,
     /// Time before the end of a caller's wait after which an answer could no longer arrive.
     pub final_margin: Duration,
 }
@@ -75,7 +79,18 @@
             reset_doubt: Duration::from_millis(6_000),
             linger: Duration::from_millis(250),
             connect_timeout: Duration::from_millis(400),
+            disabled: Disabled::default(),
             final_margin: Duration::from_millis(8),
         }
     }
 }
+
+impl Settings {
+    /// Returns from where upstreams are chosen, and by what.
+    pub(crate) fn chooser(&self) -> Chooser<'_> {
+        Chooser {
+            data_centre: &self.data_centre,
+            disabled: self.disabled,
+        }
+    }
+}
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -46,6 +46,7 @@
     handover::{self, Instances, LocalInstance},
     latency::{RouteLatency, UndisturbedLatency},
     load_report::Usage,
+    mechanism::Mechanism,
     reachability::Reachability,
     retry_after::RetrySchedule,
     send_order::SendOrder,
@@ -203,8 +204,10 @@
             Event::Settings(settings) => {
                 // An instance that serves already does not stop to wait for evacuations.
                 let awaits_evacuations = self.settings.awaits_evacuations;
+                let disabled = self.settings.disabled;
                 self.settings = Settings {
                     awaits_evacuations,
+                    disabled,
                     ..settings
                 };
             }
@@ -249,7 +252,13 @@
     /// Returns whether callers should use other instances: this one is draining, cut off, or
     /// reaches too few shards.
     pub fn is_out_of_service(&self) -> bool {
-        self.is_draining || self.reachability.is_cut_off() || self.reachability.lacks_shards()
+        self.is_draining || self.is_out_of_reach()
+    }
+
+    /// Returns whether this instance reaches too few upstreams.
+    fn is_out_of_reach(&self) -> bool {
+        let is_out = self.reachability.is_cut_off() || self.reachability.lacks_shards();
+        is_out && self.is_on(Mechanism::Reachability)
     }
 
     /// Returns whether the evacuated data centres are known, or are not waited for.
@@ -337,6 +346,10 @@
         }
     }
 
+    fn is_on(&self, mechanism: Mechanism) -> bool {
+        self.settings.disabled.allows(mechanism)
+    }
+
     fn local_instance(&self) -> LocalInstance<'_> {
         LocalInstance {
             cpu_share: self.settings.cpu_share,
--- a/crates/tier/src/tier/answers.rs
+++ b/crates/tier/src/tier/answers.rs
@@ -218,6 +218,7 @@
             is_branch: call.head.branch.is_some(),
             branch_instance: call.branch.as_ref().map(|branch| branch.instance.clone()),
             failed_attempts,
+            overload: call.overload,
         }))));
     }
 
@@ -246,6 +247,7 @@
             is_branch: false,
             branch_instance: None,
             failed_attempts: Vec::new(),
+            overload: None,
         }))));
     }
 }
--- a/crates/tier/src/tier/attempts.rs
+++ b/crates/tier/src/tier/attempts.rs
@@ -12,6 +12,7 @@
     handover,
     hedge::{self, DuePart},
     homes::Homes,
+    mechanism::Mechanism,
     placement,
     timers::Due,
     upstream::UpstreamKey,
@@ -89,7 +90,7 @@
             connections,
             ..send
         }));
-        if idempotent && first {
+        if idempotent && first && self.is_on(Mechanism::Hedges) {
             let latency = self.route_state(&name).latency;
             let due = hedge::due(now, &latency, objective, latency_ratio, soft_deadline);
             self.timers.set(due, Due::Hedge(attempt));
@@ -265,8 +266,8 @@
             let is_usable = up.admits(now, is_urgent) && homes.allows(&up.entry.data_centre);
             is_usable && !part.tried.contains(key)
         });
-        let data_centre = &self.settings.data_centre;
-        let Some(chosen) = placement::choose(now, others, data_centre, mean_latency, &mut self.rng)
+        let chooser = self.settings.chooser();
+        let Some(chosen) = placement::choose(now, others, chooser, mean_latency, &mut self.rng)
         else {
             return false;
         };
@@ -347,7 +348,8 @@
         let is_single = call.parts.len() == 1;
         let latency = self.routes.get(&*route.name).map(|state| state.latency);
         let latency = latency.unwrap_or_default();
-        if is_single || hedge::is_useful(&due, &latency, route.objective) {
+        let is_bounded = self.is_on(Mechanism::EarlyHedgeBound);
+        if is_single || !is_bounded || hedge::is_useful(&due, &latency, route.objective) {
             self.try_again(now, id, at, effects);
         }
     }
--- a/crates/tier/src/tier/branches.rs
+++ b/crates/tier/src/tier/branches.rs
@@ -14,6 +14,7 @@
     event::{HandOverOutcome, Protocol, Reply},
     handover::Instance,
     homes::Homes,
+    mechanism::Mechanism,
     placement::{self, Candidate},
     shedding::ShardShedding,
     timers::Due,
@@ -42,7 +43,8 @@
     /// branch itself, if it may have run before, or if no instance is suitable.
     pub(super) fn plan_branch(&mut self, now: Time, call: &Call<C>) -> Option<BranchPlan> {
         let is_whole_search = call.head.branch.is_none() && !call.may_have_run;
-        if !is_whole_search || !is_gather(&call.config, call.route) {
+        let is_possible = is_whole_search && self.is_on(Mechanism::Branches);
+        if !is_possible || !is_gather(&call.config, call.route) {
             return None;
         }
         let homes = Homes::of(&self.settings, call);
@@ -321,9 +323,9 @@
                 .directory
                 .of(&service)
                 .filter(|(_, up)| up.admits(now, is_urgent) && homes.allows(&up.entry.data_centre));
-            let data_centre = &self.settings.data_centre;
+            let chooser = self.settings.chooser();
             if let Some(chosen) =
-                placement::choose(now, usable, data_centre, mean_latency, &mut self.rng)
+                placement::choose(now, usable, chooser, mean_latency, &mut self.rng)
             {
                 self.send(now, id, at, chosen.key, effects);
             } else if let Some(call) = self.calls.get_mut(&id) {
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -16,7 +16,9 @@
     event::{BranchHead, Head, Origin, Protocol},
     handover,
     homes::Homes,
+    mechanism::Mechanism,
     placement::{self, Candidate},
+    retry_after::RetrySchedule,
     timers::Due,
 };
 
@@ -125,6 +127,7 @@
             extra_attempts: 0,
             skipped: 0,
             failed_attempts: Vec::new(),
+            overload: None,
             id_hash: xxh3_64(head.id.as_bytes()),
             head,
         };
@@ -158,6 +161,9 @@
     /// the request, which callers do not see.
     fn way_back(&self) -> Duration {
         let longest = self.settings.caller_delay;
+        if !self.is_on(Mechanism::ObservedDelays) {
+            return longest;
+        }
         let passing_on = delay::answer_time(self.settings.cpu_share);
         (self.to_callers.get(longest) + passing_on).min(longest)
     }
@@ -218,8 +224,10 @@
         let required = SearchRequirements {
             min_parts: call.min_parts,
             available: self.available(now, &call),
-            reserve: self.route_state(&name).missed_parts.reserve(),
-            was_refused: call.was_refused,
+            reserve: self.reserve(&name),
+            was_refused: call.was_refused && self.is_on(Mechanism::ReturningCallers),
+            allows_trials: self.is_on(Mechanism::Trials),
+            allows_skipping: self.is_on(Mechanism::Skipping),
         };
         match admit::admit(&shards, required, &mut self.rng) {
             Admission::Admit(decisions) => {
@@ -252,7 +260,10 @@
                 let parts = parts.filter(|(at, _)| is_own(*at)).collect();
                 self.send_parts(now, id, parts, effects);
             }
-            Admission::Overloaded => self.refuse(now, id, &mut call, Refusal::Overload, effects),
+            Admission::Overloaded(why) => {
+                call.overload = Some(why);
+                self.refuse(now, id, &mut call, Refusal::Overload, effects);
+            }
             Admission::Down => {
                 self.check_shard_reachability(now, effects);
                 if let Some(mut call) = self.relay(now, id, call, effects) {
@@ -262,6 +273,14 @@
         }
     }
 
+    /// Returns the number of parts that admission should expect to be missed.
+    fn reserve(&mut self, name: &Rc<str>) -> usize {
+        match self.is_on(Mechanism::MissedParts) {
+            true => self.route_state(name).missed_parts.reserve(),
+            false => 0,
+        }
+    }
+
     /// Returns the state of each part's service, as input for the admission decision.
     fn shards(
         &self,
@@ -272,7 +291,7 @@
     ) -> Vec<Shard> {
         let is_gather = is_gather(&call.config, call.route);
         let share = |at: usize| match plan {
-            _ if !is_gather => 1.0,
+            _ if !is_gather || !self.is_on(Mechanism::Shedding) => 1.0,
             Some(plan) if plan.has(at) => self.reported_share(now, call, at),
             _ => self
                 .shard_shedding(&call.parts[at].service)
@@ -317,8 +336,8 @@
                 .directory
                 .of(&part.service)
                 .filter(|(_, up)| up.admits(now, is_urgent) && homes.allows(&up.entry.data_centre));
-            let data_centre = &self.settings.data_centre;
-            placement::choose(now, usable, data_centre, mean_latency, &mut self.rng)
+            let chooser = self.settings.chooser();
+            placement::choose(now, usable, chooser, mean_latency, &mut self.rng)
         };
         call.parts.iter().map(find).collect()
     }
@@ -365,9 +384,12 @@
                     Refusal::NoUpstream | Refusal::TurnedAway => self.recovery(now, call),
                     _ => ASSUMED_RECOVERY,
                 };
-                self.route_state(&name)
-                    .retry_schedule
-                    .next_slot(now, recovery, left)
+                let is_queued = self.is_on(Mechanism::RetrySchedule);
+                let schedule = &mut self.route_state(&name).retry_schedule;
+                match is_queued {
+                    true => schedule.next_slot(now, recovery, left),
+                    false => RetrySchedule::default().next_slot(now, recovery, left),
+                }
             }
         };
         self.note_call_ended(now, call, why.name(), false, effects);
--- a/crates/tier/src/tier/handovers.rs
+++ b/crates/tier/src/tier/handovers.rs
@@ -12,6 +12,7 @@
     event::{HandOverOutcome, Head, Origin, Protocol, Reply},
     handover::{Instance, LocalInstance},
     homes::Homes,
+    mechanism::Mechanism,
     organisation::authenticate::CredentialFault,
     timers::Due,
 };
@@ -53,6 +54,7 @@
         if !is_from_caller
             || !is_gather(&call.config, call.route)
             || call.handovers >= MAX_HANDOVERS
+            || !self.is_on(Mechanism::Handovers)
         {
             return Some(call);
         }
--- a/crates/tier/src/tier/outcomes.rs
+++ b/crates/tier/src/tier/outcomes.rs
@@ -9,6 +9,7 @@
     effect::{Effect, Note},
     event::{AttemptKey, Failure, Outcome, Protocol, Reply},
     load_report::{self, Received},
+    mechanism::Mechanism,
     timers::Due,
 };
 
@@ -126,11 +127,12 @@
             }
             return;
         }
+        let is_ejecting = self.is_on(Mechanism::Ejection);
         let is_unreachable = matches!(failure, Failure::Unreachable | Failure::Unsent);
         let Some(upstream) = self.directory.get_mut(key) else {
             return;
         };
-        if let Some(ejection) = upstream.failed(now, is_unreachable) {
+        if is_ejecting && let Some(ejection) = upstream.failed(now, is_unreachable) {
             let (name, service) = (upstream.entry.name.clone(), upstream.entry.service.clone());
             effects.push(Effect::Note(Note::UpstreamEjected(
                 name, service, failure, ejection,
--- a/crates/tier/src/tier/relays.rs
+++ b/crates/tier/src/tier/relays.rs
@@ -28,7 +28,7 @@
         let Some(call) = self.hand_over(now, id, call, effects) else {
             return;
         };
-        let is_cut_off = self.reachability.is_cut_off();
+        let is_cut_off = self.is_out_of_reach() && self.reachability.is_cut_off();
         // A single service may still be in reach when many shards are not.
         let is_relayed = is_cut_off || is_gather(&call.config, call.route);
         let call = match is_relayed {
@@ -53,7 +53,7 @@
         mut call: Call<C>,
         effects: &mut Vec<Effect<C>>,
     ) -> Option<Call<C>> {
-        let is_cut_off = self.reachability.is_cut_off() || self.reachability.lacks_shards();
+        let is_cut_off = self.is_out_of_reach();
         // What another instance handed over goes back to it, so that requests do not travel between
         // instances that are all cut off.
         let is_from_caller = call.head.origin == Origin::Caller;
--- a/crates/tier/src/tier/sending.rs
+++ b/crates/tier/src/tier/sending.rs
@@ -5,7 +5,10 @@
 use base::{CallId, Time};
 
 use super::Tier;
-use crate::{call::PartState, effect::Effect, event::Protocol, timers::Due, upstream::UpstreamKey};
+use crate::{
+    call::PartState, effect::Effect, event::Protocol, mechanism::Mechanism, timers::Due,
+    upstream::UpstreamKey,
+};
 
 impl<C: Protocol> Tier<C> {
     /// Sends parts of a call to their upstreams; those of a search that is not among the most
@@ -24,6 +27,7 @@
             .config
             .is_urgent(call.route, call.organisation.as_ref())
             || call.parts.len() == 1
+            || !self.is_on(Mechanism::SendOrder)
         {
             for (at, upstream) in parts {
                 self.send(now, id, at, upstream, effects);
--- a/crates/tier/src/tier/separations.rs
+++ b/crates/tier/src/tier/separations.rs
@@ -8,6 +8,7 @@
     config::{Config, Target},
     effect::{Effect, Note},
     event::Protocol,
+    mechanism::Mechanism,
     separation::{
         CHECK_PERIOD, CHECKED_UPSTREAMS, MIN_SILENCE, PINGED_INSTANCES, RETURN_CHECK_INTERVAL,
     },
@@ -91,7 +92,9 @@
         effects: &mut Vec<Effect<C>>,
     ) {
         let own = &*self.settings.data_centre;
-        if suspected.as_str() == own || !self.separations.is_check_due(now, suspected, silent_since)
+        if suspected.as_str() == own
+            || !self.is_on(Mechanism::Separation)
+            || !self.separations.is_check_due(now, suspected, silent_since)
         {
             return;
         }
--- a/crates/tier/tests/separation.rs
+++ b/crates/tier/tests/separation.rs
@@ -8,6 +8,7 @@
     Origin, Outcome, ProtocolLevel, Refusal, Route, Settings, Target, UpstreamKey,
     config::{Gather, Limits, Service},
     crash::suspicion::ProbeResult,
+    mechanism::Disabled,
 };
 
 use crate::{
@@ -95,7 +96,13 @@
 
 impl Replay {
     fn new() -> Self {
+        Self::without(Disabled::default())
+    }
+
+    /// Creates an instance without some mechanisms.
+    fn without(disabled: Disabled) -> Self {
         let settings = Settings {
+            disabled,
             instance: "here-0".into(),
             data_centre: "here".into(),
             ..Settings::default()
@@ -207,7 +214,7 @@
         let start = self.instance.now;
         while self.instance.now.since(start) < limit {
             let passed = self.instance.now.since(start).as_millis();
-            if passed % SEARCH_INTERVAL.as_millis() == 0 {
+            if passed.is_multiple_of(SEARCH_INTERVAL.as_millis()) {
                 self.search();
             }
             self.pass(Duration::from_millis(1));
@@ -256,6 +263,14 @@
     assert!(handover(&effects).is_some() && !sent(&effects).is_empty());
 }
 
+/// Without the checks, silence looks like slow upstreams.
+#[test]
+fn without_the_checks_a_cut_is_not_noticed_in_time() {
+    let mut replay = Replay::without("separation".parse().unwrap());
+    replay.is_cut = true;
+    assert_eq!(replay.time_until_not_ready(DETECTION_TIME), None);
+}
+
 #[test]
 fn connections_that_are_reset_show_a_cut_at_once() {
     let mut replay = Replay::new();
