tier: parts that a branch brings late take up no tolerance

One shard whose replicas are both silent is enough: an instance that queries the other half of the shards for a search answers at its soft deadline, as it waits for that one; its reply is late, all five or ten parts of it count as missed, and the reserve for missed parts leaves nothing to skip. So the shard that no search needs decides, with an admitted share of 0.15, that 85 of 100 searches are refused.

Change: parts that a branch brings are in the answer, so they are not missed, whenever they come.

--- a/crates/tier/src/tier/answers.rs
+++ b/crates/tier/src/tier/answers.rs
@@ -138,7 +138,9 @@
         if is_gather && call.handed_to.is_none() && call.head.branch.is_none() {
             let is_over = now >= call.soft_deadline;
             let is_missed = |part: &&Part<C::Reply>| match part.state {
-                PartState::Received(_) | PartState::ReceivedByBranch => part.is_late,
+                PartState::Received(_) => part.is_late,
+                // A branch that waits for one of its shards brings all others late.
+                PartState::ReceivedByBranch => false,
                 PartState::Lost => !part.tried.is_empty(),
                 PartState::Open => is_over && !part.tried.is_empty(),
             };
--- a/crates/tier/tests/load.rs
+++ b/crates/tier/tests/load.rs
@@ -284,3 +284,32 @@
         );
     }
 }
+
+/// Both replicas of one shard are silent, and one replica of each of `slow` others is eight times as
+/// slow. One in twenty shards may be missing, and the others have capacity for the load.
+fn with_dark_shard(seed: u64, slow: usize) -> Tally {
+    let setup = SimulationConfig {
+        service_time: Duration::from_millis(12),
+        ..SimulationConfig::twelve_instances(seed)
+    };
+    let mut simulation = warmed_up(setup, DARK_SHARD_RATE);
+    for replica in 0..2 {
+        simulation.upstreams[3 * 2 + replica].is_partitioned = true;
+    }
+    for shard in 0..slow {
+        simulation.upstreams[(shard + 5) * 2].service_time = setup.service_time * 8;
+    }
+    simulation.run(DARK_SHARD_RATE, Duration::from_secs(1));
+    simulation.run(DARK_SHARD_RATE, Duration::from_secs(6))
+}
+
+/// Searches a second beside a silent shard.
+const DARK_SHARD_RATE: f64 = 80.0;
+
+#[test]
+fn a_silent_shard_costs_its_part_and_no_answers() {
+    for seed in 1..=5 {
+        let tally = with_dark_shard(seed, 0);
+        assert!(share(tally.in_time, tally) > 0.95, "seed {seed}: {tally:?}");
+    }
+}
