tier: missed parts of shards that shed load count by their admitted share

Hypothesis: a slow shard takes up the tolerance of missing shards twice: its share is skipped, and its late parts raise the reserve for parts that are likely to be missed. Replay beside a silent shard: searches are refused although one part is missing and another may be.

Change: a missed part adds to the reserve what its shard admits; the rest of it is skipped anyway.

--- a/crates/tier/src/failure_rate.rs
+++ b/crates/tier/src/failure_rate.rs
@@ -63,8 +63,8 @@
 
 impl MissedParts {
     /// Adds the number of missed parts of one search.
-    pub fn add(&mut self, missed: usize) {
-        self.mean += (missed as f64 - self.mean) * SEARCH_WEIGHT;
+    pub fn add(&mut self, missed: f64) {
+        self.mean += (missed - self.mean) * SEARCH_WEIGHT;
     }
 
     /// Returns the number of parts that admission control should expect to be missed.
--- a/crates/tier/src/tier/answers.rs
+++ b/crates/tier/src/tier/answers.rs
@@ -144,7 +144,11 @@
                 PartState::Lost => !part.tried.is_empty(),
                 PartState::Open => is_over && !part.tried.is_empty(),
             };
-            let missed = call.parts.iter().filter(is_missed).count();
+            // Shards that shed load are skipped in proportion; if all of their parts counted here too,
+            // one that never replies would take up the tolerance twice.
+            let weight =
+                |part: &Part<C::Reply>| self.shard_shedding(&part.service).admitted_share();
+            let missed = call.parts.iter().filter(is_missed).map(weight).sum();
             self.route_state(&route).missed_parts.add(missed);
         }
         if is_gather && now >= call.soft_deadline {
--- a/crates/tier/tests/load.rs
+++ b/crates/tier/tests/load.rs
@@ -232,6 +232,14 @@
     }
 }
 
+#[test]
+fn a_silent_shard_beside_slow_replicas_costs_its_part_and_no_answers() {
+    for seed in 1..=5 {
+        let tally = with_dark_shard(seed, 6);
+        assert!(share(tally.in_time, tally) > 0.95, "seed {seed}: {tally:?}");
+    }
+}
+
 /// One of the few large instances pauses: after the first searches, all are handed to the others,
 /// and the first ones are answered too.
 #[test]
