tier, wire, edge: neighbours are told of a data centre that is out of reach

They check for themselves before they believe it, and pass nothing on.

Replay: neighbours_are_told_of_a_separation_once_and_check_it; on the code before, an idle instance stays ready.

--- a/crates/briarcove/src/edge/peers/incoming.rs
+++ b/crates/briarcove/src/edge/peers/incoming.rs
@@ -2,7 +2,7 @@
 
 use std::{cell::RefCell, collections::HashMap, io, rc::Rc, time::Duration};
 
-use base::{CallId, InstanceName};
+use base::{CallId, DataCentre, InstanceName};
 use compio::{
     net::{TcpListener, TcpStream},
     runtime::{JoinHandle, fd::PollFd, spawn},
@@ -17,6 +17,7 @@
 use tier::{Answer, Event, Origin, crash::Crash, event::BranchHead, organisation::Credential};
 use wire::handover::{
     CrashReport, Departure, Done, HandOver, LimitedShard, NamedLimit, Payload, Quarantined,
+    Separated,
 };
 
 use super::{channel::Channel, from_frame, to_frame, tokens};
@@ -102,6 +103,7 @@
                     let left = Duration::from_millis(left_ms);
                     shell.dispatch(Event::QuarantineShared(digest, left));
                 }
+                Payload::Separated(separated) => report_separation(shell, &separated),
                 Payload::HandOver(_)
                 | Payload::IdentifiedHandOver(_)
                 | Payload::Accepted(_)
@@ -125,6 +127,16 @@
     result
 }
 
+/// Reports to the reducer which data centres a neighbour does not reach.
+fn report_separation(shell: &Rc<Shell>, separated: &Separated) {
+    let names = separated.data_centres.iter();
+    let parsed: Result<Vec<DataCentre>, _> = names.map(|name| name.parse()).collect();
+    match parsed {
+        Ok(all) => shell.dispatch(Event::SeparationReported(all)),
+        Err(e) => warn!(shell.log, "ignoring a report of an invalid data centre"; "error" => %e),
+    }
+}
+
 /// Returns the sender of a report and the crash; `None` if a name is invalid.
 fn parse_crash(shell: &Shell, report: CrashReport) -> Option<(InstanceName, Crash)> {
     let ago = |age_us| shell.now() - Duration::from_micros(age_us);
--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -293,6 +293,7 @@
             | Payload::Crash(_)
             | Payload::Reply(_)
             | Payload::Quarantine(_)
+            | Payload::Separated(_)
             | Payload::TokenRequest(_) => {
                 warn!(shell.log, "ignoring a request on a connection that is for answers only";
                     "from" => %name);
--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -21,7 +21,7 @@
     mechanism::Disabled,
     quota::{Question, Reply},
 };
-use wire::handover::{Payload, Quarantined, ReplyReport};
+use wire::handover::{Payload, Quarantined, ReplyReport, Separated};
 
 use super::{
     callers::Connections,
@@ -302,6 +302,11 @@
                 let report = Payload::Reply(ReplyReport { digest, service });
                 self.peers.notify(self, &to, &report);
             }
+            Effect::ShareSeparation(data_centres, to) => {
+                let data_centres = data_centres.iter().map(ToString::to_string).collect();
+                let separated = Payload::Separated(Separated { data_centres });
+                self.peers.notify(self, &to, &separated);
+            }
             Effect::ShareQuarantine(digest, left, to) => {
                 let left_ms = u64::try_from(left.as_millis()).unwrap_or(u64::MAX);
                 let quarantined = Payload::Quarantine(Quarantined { digest, left_ms });
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -57,6 +57,8 @@
     /// Notifies other instances of the time for which a request stays quarantined; zero when its
     /// quarantine has ended.
     ShareQuarantine(u64, Duration, Vec<Instance>),
+    /// Tell instances in the own data centre which others are out of reach.
+    ShareSeparation(Vec<DataCentre>, Vec<Instance>),
     /// Reports to logs and metrics.
     Note(Note),
 }
--- a/crates/tier/src/event.rs
+++ b/crates/tier/src/event.rs
@@ -78,6 +78,8 @@
     LimitedShards(CallId, Vec<LimitedShard>),
     /// The instance that handed a search over to this one has confirmed that it still waits.
     Confirmed(CallId),
+    /// An instance in the same data centre does not reach these.
+    SeparationReported(Vec<DataCentre>),
     /// Another instance has accepted a search or answered a ping.
     InstanceAlive(InstanceName),
     /// The platform lists a request that another instance has quarantined, given by its digest.
--- a/crates/tier/src/handover.rs
+++ b/crates/tier/src/handover.rs
@@ -391,6 +391,14 @@
         there.map(|peer| &peer.instance.name)
     }
 
+    /// Returns the other instances in the local data centre, up to the number that one tells
+    /// something at once.
+    pub fn neighbours(&self, own_data_centre: &str) -> Vec<Instance> {
+        let all = self.peers.iter().map(|peer| &peer.instance);
+        let near = all.filter(|it| it.data_centre.as_str() == own_data_centre);
+        near.take(MAX_RECIPIENTS).cloned().collect()
+    }
+
     /// Records whether this instance reaches a data centre. Instances that are in reach again are
     /// used at once.
     pub fn set_separated(&mut self, now: Time, data_centre: &DataCentre, is_separated: bool) {
--- a/crates/tier/src/separation.rs
+++ b/crates/tier/src/separation.rs
@@ -9,6 +9,10 @@
 //! An instance that is separated from so many that no search can be served reports at once that it
 //! is not ready, as do its neighbours, which see the same.
 //!
+//! An instance that is seldom handed searches would notice late, and the balancer uses a data centre
+//! as long as any of its instances is ready. So the first one that is not ready for this reason
+//! tells its neighbours, which check for themselves.
+//!
 //! Upstreams that crash together, a paused upstream or a slow instance are not taken for a
 //! separation: any reply or message from the data centre during the checks disproves it.
 
@@ -54,6 +58,8 @@
     round: Option<Round>,
     round_ended: Time,
     is_separated: bool,
+    /// Why it was checked last.
+    cause: Option<Cause>,
 }
 
 /// Checks of upstreams that are pending.
@@ -61,6 +67,16 @@
 struct Round {
     started: Time,
     pending: Vec<UpstreamKey>,
+    cause: Cause,
+}
+
+/// Why a data centre is checked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// Something there has failed this instance.
+    Failure,
+    /// A neighbour does not reach it.
+    Report,
 }
 
 impl Separations {
@@ -88,13 +104,20 @@
     }
 
     /// Starts checks of upstreams of a data centre.
-    pub fn start_round(&mut self, now: Time, data_centre: &DataCentre, checked: Vec<UpstreamKey>) {
+    pub fn start_round(
+        &mut self,
+        now: Time,
+        data_centre: &DataCentre,
+        checked: Vec<UpstreamKey>,
+        cause: Cause,
+    ) {
         let known = self.get_or_insert(data_centre);
         known.round_ended = now;
         if checked.len() >= MIN_CHECKED_UPSTREAMS {
             known.round = Some(Round {
                 started: now,
                 pending: checked,
+                cause,
             });
         }
     }
@@ -146,6 +169,12 @@
         self.separated().next().is_some()
     }
 
+    /// Returns whether this instance noticed a separation by itself.
+    pub fn is_own(&self, data_centre: &DataCentre) -> bool {
+        let known = self.0.iter().find(|it| it.data_centre == *data_centre);
+        known.is_some_and(|it| it.cause == Some(Cause::Failure))
+    }
+
     fn get_or_insert(&mut self, data_centre: &DataCentre) -> &mut Separation {
         let at = self.0.iter().position(|it| it.data_centre == *data_centre);
         let at = at.unwrap_or_else(|| {
@@ -155,6 +184,7 @@
                 round: None,
                 round_ended: Time::ZERO,
                 is_separated: false,
+                cause: None,
             });
             self.0.len() - 1
         });
@@ -164,7 +194,7 @@
 
 impl Separation {
     fn end_round(&mut self, now: Time, proves: bool) {
-        self.round = None;
+        self.cause = self.round.take().map(|round| round.cause);
         self.round_ended = now;
         self.is_separated = proves;
     }
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -186,6 +186,7 @@
                 self.acceptance.accepted(now, &name);
                 self.on_sign_of_instance(now, &name, effects);
             }
+            Event::SeparationReported(all) => self.on_separation_reported(now, &all, effects),
             Event::Quarantine(digest) => self.on_quarantine(now, digest, effects),
             Event::CrashReported(from, crash) => self.on_crash_reported(now, &from, crash, effects),
             Event::ReportLost(to, crash) => self.on_report_lost(now, to, crash, effects),
--- a/crates/tier/src/tier/separations.rs
+++ b/crates/tier/src/tier/separations.rs
@@ -10,7 +10,8 @@
     event::Protocol,
     mechanism::Mechanism,
     separation::{
-        CHECK_PERIOD, CHECKED_UPSTREAMS, MIN_SILENCE, PINGED_INSTANCES, RETURN_CHECK_INTERVAL,
+        CHECK_PERIOD, CHECKED_UPSTREAMS, Cause, MIN_SILENCE, PINGED_INSTANCES,
+        RETURN_CHECK_INTERVAL,
     },
     timers::Due,
     upstream::UpstreamKey,
@@ -105,10 +106,41 @@
             .filter(|it| *it == suspected || separations.is_check_due(now, it, now - MIN_SILENCE))
             .cloned()
             .collect();
+        self.start_rounds(now, due, Cause::Failure, effects);
+    }
+
+    /// Checks the data centres that a neighbour does not reach.
+    pub(super) fn on_separation_reported(
+        &mut self,
+        now: Time,
+        reported: &[DataCentre],
+        effects: &mut Vec<Effect<C>>,
+    ) {
+        if !self.is_on(Mechanism::Separation) {
+            return;
+        }
+        let own = &*self.settings.data_centre;
+        let others = reported.iter().filter(|it| it.as_str() != own);
+        let separations = &mut self.separations;
+        let due: Vec<DataCentre> = others
+            .filter(|it| separations.is_check_due(now, it, now))
+            .cloned()
+            .collect();
+        self.start_rounds(now, due, Cause::Report, effects);
+    }
+
+    fn start_rounds(
+        &mut self,
+        now: Time,
+        due: Vec<DataCentre>,
+        cause: Cause,
+        effects: &mut Vec<Effect<C>>,
+    ) {
         for data_centre in due {
             let checked = self.check_upstreams(&data_centre, CHECKED_UPSTREAMS, effects);
             self.ping_instances(now, &data_centre, PINGED_INSTANCES, effects);
-            self.separations.start_round(now, &data_centre, checked);
+            self.separations
+                .start_round(now, &data_centre, checked, cause);
             self.timers.set(now + CHECK_PERIOD, Due::Separation);
         }
     }
@@ -198,7 +230,13 @@
         if self.return_check_at <= now {
             self.schedule_return_check(now);
         }
+        let was_ready = !self.reachability.lacks_shards();
         self.check_shard_reachability(now, effects);
+        if was_ready && self.reachability.lacks_shards() && self.separations.is_own(data_centre) {
+            let separated: Vec<DataCentre> = self.separations.separated().cloned().collect();
+            let neighbours = self.instances.neighbours(&self.settings.data_centre);
+            effects.push(Effect::ShareSeparation(separated, neighbours));
+        }
     }
 
     fn end_separation(&mut self, now: Time, data_centre: DataCentre, effects: &mut Vec<Effect<C>>) {
--- a/crates/tier/tests/crashing/world.rs
+++ b/crates/tier/tests/crashing/world.rs
@@ -592,6 +592,12 @@
                     self.tell(instance, other.address, report, None);
                 }
             }
+            Effect::ShareSeparation(all, to) => {
+                for other in to {
+                    let report = Event::SeparationReported(all.clone());
+                    self.tell(instance, other.address, report, None);
+                }
+            }
             Effect::ShareQuarantine(digest, left, to) => {
                 for other in to {
                     let shared = Event::QuarantineShared(digest, left);
--- a/crates/tier/tests/separation.rs
+++ b/crates/tier/tests/separation.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
-use base::{InstanceName, ServiceName};
+use base::{DataCentre, InstanceName, ServiceName};
 use tier::{
     Answer, AttemptKey, Config, Effect, Entry, Event, Failure, HandOverOutcome, Instance, Note,
     Origin, Outcome, ProtocolLevel, Refusal, Route, Settings, Target, UpstreamKey,
@@ -33,6 +33,9 @@
 /// its next search, the time for its branch to be overdue, and the checks.
 const DETECTION_TIME: Duration = Duration::from_millis(600);
 
+/// Time for the checks alone.
+const CHECK_TIME: Duration = Duration::from_millis(250);
+
 fn config() -> Rc<Config> {
     let shards: Box<[ServiceName]> = (0..SHARDS)
         .map(|at| format!("shard-{at}").parse().unwrap())
@@ -92,6 +95,8 @@
     /// Whether the data centre is cut off.
     is_cut: bool,
     has_noted: Vec<bool>,
+    /// What neighbours are told.
+    shared: Vec<(Vec<DataCentre>, Vec<Instance>)>,
 }
 
 impl Replay {
@@ -128,6 +133,7 @@
             pings: Vec::new(),
             is_cut: false,
             has_noted: Vec::new(),
+            shared: Vec::new(),
         };
         for _ in 0..20 {
             replay.search();
@@ -158,6 +164,7 @@
                     let effects = self.instance.on(Event::HandOverEnded(handover.call, reply));
                     self.take(effects);
                 }
+                Effect::ShareSeparation(all, to) => self.shared.push((all, to)),
                 Effect::Note(Note::Separated(_)) => self.has_noted.push(true),
                 Effect::Note(Note::SeparationEnded(_)) => self.has_noted.push(false),
                 _ => {}
@@ -290,6 +297,32 @@
     assert!(!replay.instance.is_ready());
 }
 
+/// An instance that nobody hands a search knows of the cut what its neighbours tell it, and checks
+/// for itself.
+#[test]
+fn neighbours_are_told_of_a_separation_once_and_check_it() {
+    let mut first = Replay::new();
+    first.is_cut = true;
+    assert!(first.time_until_not_ready(DETECTION_TIME).is_some());
+    let [(reported, to)] = &first.shared[..] else {
+        panic!("{:?}", first.shared);
+    };
+    assert!(reported.len() >= 2);
+    assert!(to.iter().all(|it| it.data_centre.as_str() == "here") && to.len() == 2);
+    for is_cut in [true, false] {
+        let mut idle = Replay::new();
+        idle.pass(DETECTION_TIME);
+        idle.is_cut = is_cut;
+        let effects = idle
+            .instance
+            .on(Event::SeparationReported(reported.clone()));
+        idle.take(effects);
+        idle.pass(CHECK_TIME);
+        assert_eq!(idle.instance.is_ready(), !is_cut);
+        assert!(idle.shared.is_empty(), "told again: {:?}", idle.shared);
+    }
+}
+
 /// Fails one attempt elsewhere after a search, and returns the checks that follow.
 fn fail_one(replay: &mut Replay) -> usize {
     replay.pass(SEARCH_INTERVAL);
--- a/crates/tier/tests/simulation.rs
+++ b/crates/tier/tests/simulation.rs
@@ -440,6 +440,7 @@
             | Effect::ReportCrash(..)
             | Effect::ReportReply(..)
             | Effect::ShareQuarantine(..)
+            | Effect::ShareSeparation(..)
             | Effect::Note(_) => {}
         }
     }
--- a/crates/wire/src/handover.rs
+++ b/crates/wire/src/handover.rs
@@ -18,7 +18,7 @@
     /// Content; `None` for a kind that this version does not know.
     #[prost(
         oneof = "Payload",
-        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 20"
+        tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 20"
     )]
     pub payload: Option<Payload>,
 }
@@ -83,6 +83,9 @@
     /// Replies to a [`Payload::TokenRequest`].
     #[prost(message, tag = "17")]
     TokenLoan(TokenLoan),
+    /// The sender does not reach data centres; the receiver, in the same one, should check them.
+    #[prost(message, tag = "18")]
+    Separated(Separated),
     /// The same as [`Payload::HandOver`], under a configuration with organisations: the sender has
     /// authenticated the caller and left out its key. Builds that would send the request to
     /// upstreams without its organisation do not know this kind.
@@ -90,6 +93,14 @@
     IdentifiedHandOver(HandOver),
 }
 
+/// Data centres that an instance does not reach.
+#[derive(Clone, PartialEq, Message)]
+pub struct Separated {
+    /// Their names.
+    #[prost(string, repeated, tag = "1")]
+    pub data_centres: Vec<String>,
+}
+
 /// A request for tokens of an organisation's limit, each of which allows one request of a caller,
 /// or for the receiver's share of all limits.
 #[derive(Clone, PartialEq, Message)]
--- a/crates/wire/tests/older_builds.rs
+++ b/crates/wire/tests/older_builds.rs
@@ -3,11 +3,14 @@
 //! A file below `frames` is named for the commit whose messages wrote it, and is never changed.
 
 use prost::Message;
-use wire::handover::{Frame, HandOver, Payload};
+use wire::handover::{Frame, HandOver, Payload, Separated};
 
 /// Frames of the last build without organisations, by the kind of their message.
 const FRAMES: &str = include_str!("frames/5fa78e2.txt");
 
+/// Frames of the last landed build that the one before did not know.
+const LATER_FRAMES: &str = include_str!("frames/86b877c.txt");
+
 /// What that build knows of a frame.
 #[derive(Clone, PartialEq, Message)]
 struct OlderFrame {
@@ -18,7 +21,7 @@
 }
 
 fn frames() -> impl Iterator<Item = (&'static str, Vec<u8>)> {
-    FRAMES.lines().map(|line| {
+    FRAMES.lines().chain(LATER_FRAMES.lines()).map(|line| {
         let (name, hex) = line.split_once(' ').unwrap();
         let byte = |at: usize| u8::from_str_radix(&hex[at..at + 2], 16).unwrap();
         (name, (0..hex.len()).step_by(2).map(byte).collect())
@@ -32,7 +35,7 @@
 
 #[test]
 fn frames_of_an_older_build_are_read_and_written_alike() {
-    assert_eq!(frames().count(), 16);
+    assert_eq!(frames().count(), 19);
     for (name, bytes) in frames() {
         let read = Frame::decode(&*bytes).unwrap();
         assert!(read.payload.is_some(), "{name}");
@@ -92,3 +95,13 @@
     );
     assert!(seen(Payload::HandOver(search)).hand_over.is_some());
 }
+
+/// Older builds ignore what neighbours say of data centres.
+#[test]
+fn an_older_build_does_not_see_reports_of_separations() {
+    let report = Payload::Separated(Separated {
+        data_centres: vec!["there".into()],
+    });
+    let seen = OlderFrame::decode(&*Frame::from(report).encode_to_vec()).unwrap();
+    assert_eq!(seen, OlderFrame::default());
+}
