--- a/review/standin/backend.rs
+++ b/review/standin/backend.rs
@@ -41,6 +41,7 @@
     load: Mutex<Load>,
     freed: Condvar,
     is_draining: AtomicBool,
+    has_ended: AtomicBool,
     /// Seconds at which requests reached it, with their ids.
     reached: Mutex<Vec<(f64, String)>>,
     record: Record,
@@ -58,6 +59,7 @@
             load: Mutex::default(),
             freed: Condvar::new(),
             is_draining: AtomicBool::new(false),
+            has_ended: AtomicBool::new(false),
             reached: Mutex::default(),
             record: record.clone(),
         });
@@ -91,6 +93,15 @@
         self.is_draining.store(true, Ordering::Relaxed);
     }
 
+    /// Ends it: its connections close, with the requests that it runs, and new ones close at once.
+    pub fn end(&self) {
+        self.has_ended.store(true, Ordering::Relaxed);
+    }
+
+    fn has_ended(&self) -> bool {
+        self.has_ended.load(Ordering::Relaxed)
+    }
+
     /// Returns the ids of the requests that reached it later than a time in seconds.
     pub fn reached_after(&self, from: f64) -> Vec<String> {
         let reached = self.reached.lock().unwrap();
@@ -100,6 +111,9 @@
 
     /// Answers a request; returns whether the connection stays open.
     fn answer(&self, conn: &mut Conn, request: &Message) -> bool {
+        if self.has_ended() {
+            return false;
+        }
         if request.path() == "/health" {
             let headers = [("X-Instance-Id", self.id.as_str())];
             return conn.write("HTTP/1.1 200 OK", &headers, b"").is_ok();
@@ -123,7 +137,7 @@
             load.waiting += 1;
             while load.running >= self.kind.slots {
                 load = self.freed.wait_timeout(load, Duration::from_millis(10)).unwrap().0;
-                if conn.is_closed() || Instant::now() >= until {
+                if conn.is_closed() || self.has_ended() || Instant::now() >= until {
                     break;
                 }
             }
@@ -139,7 +153,7 @@
         while is_open && Instant::now() < end {
             let left = end.saturating_duration_since(Instant::now());
             thread::sleep(left.min(Duration::from_millis(10)));
-            is_open = !conn.is_closed();
+            is_open = !conn.is_closed() && !self.has_ended();
         }
         self.load.lock().unwrap().running -= 1;
         self.freed.notify_all();
--- a/review/standin/foreign.rs
+++ b/review/standin/foreign.rs
@@ -91,6 +91,7 @@
         zones: ZONES.iter().map(ToString::to_string).collect(),
         bounds: String::new(),
         cpu_share: 0.17,
+        net: 4,
     };
     let mut instances: Vec<Instance> = (0..MACHINES)
         .map(|at| deployment.start(at, ZONES[at % ZONES.len()]))
@@ -203,7 +204,7 @@
     };
     let usual = share(0.0, before);
     let _ = share(before, back);
-    let recovered = share(from, f64::MAX);
+    let recovered = share(from, record.now());
     record.say(&format!("{is_ready} of {MACHINES} instances are ready"));
     let is_broken = usual >= 0.25 && recovered < 0.25;
     record.say(if is_broken { "RECOVER is broken" } else { "RECOVER holds" });
--- a/review/standin/freeze.rs
+++ b/review/standin/freeze.rs
@@ -105,6 +105,7 @@
         zones: ZONES.iter().map(|(name, _)| (*name).to_owned()).collect(),
         bounds: String::new(),
         cpu_share: 0.17,
+        net: 3,
     };
     let mut instances: Vec<Instance> = Vec::new();
     for (zone, count) in ZONES {
--- a/review/standin/instance.rs
+++ b/review/standin/instance.rs
@@ -50,13 +50,15 @@
     /// Further lines of `bounds`, each beginning with a comma.
     pub bounds: String,
     pub cpu_share: f64,
+    /// Third byte of the loopback addresses of the instances.
+    pub net: u8,
 }
 
 impl Deployment {
     /// Starts an instance with the command of the deploy file.
     pub fn start(&self, at: usize, zone: &str) -> Instance {
         let name = format!("edge-{zone}-{at}");
-        let ip = format!("127.0.3.{}", at + 1);
+        let ip = format!("127.0.{}.{}", self.net, at + 1);
         let (front, ready, internal) = (free_ports(&ip), free_ports(&ip), free_ports(&ip));
         let zones: Vec<String> = self.zones.iter().map(|it| format!("\"{it}\":\"region\"")).collect();
         let settings = format!(
