--- a/review/standin/silent.rs
+++ b/review/standin/silent.rs
@@ -6,7 +6,7 @@
     path::Path,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     thread,
     time::Duration,
@@ -22,9 +22,11 @@
 
 const HOST: &str = "order.example";
 const ZONES: [&str; 2] = ["a", "b"];
-const MACHINES: usize = 4;
-const BACKENDS: usize = 8;
-const CLIENTS: usize = 40;
+const MACHINES: usize = 8;
+const BACKENDS: usize = 7;
+const CLIENTS: usize = 36;
+/// Times that the connections go silent, each with another backend that leaves.
+const EPISODES: usize = 3;
 const DEADLINE: Duration = Duration::from_secs(5);
 
 const HEARTBEAT: Duration = Duration::from_millis(1_200);
@@ -61,9 +63,9 @@
             let kind = Kind {
                 service: "orders".into(),
                 zone: ZONES[at % ZONES.len()].into(),
-                slots: 2,
-                queue: 8,
-                work: Duration::from_millis(120),
+                slots: 6,
+                queue: 24,
+                work: Duration::from_millis(220),
                 bytes: 1_500,
             };
             Backend::start(&format!("i-o{at}"), kind, record)
@@ -85,16 +87,16 @@
         .map(|at| deployment.start(at, ZONES[at % ZONES.len()]))
         .collect();
     let stop = Arc::new(AtomicBool::new(false));
-    let has_left = Arc::new(AtomicBool::new(false));
+    let left = Arc::new(AtomicUsize::new(0));
     let mut threads = Vec::new();
     {
-        let (stop, has_left, store) = (Arc::clone(&stop), Arc::clone(&has_left), store.clone());
+        let (stop, left, store) = (Arc::clone(&stop), Arc::clone(&left), store.clone());
         let backends = backends.clone();
         threads.push(thread::spawn(move || {
             let mut seq = 1;
             while !stop.load(Ordering::Relaxed) {
                 seq += 1;
-                for backend in &backends[usize::from(has_left.load(Ordering::Relaxed))..] {
+                for backend in &backends[left.load(Ordering::Relaxed)..] {
                     store.put("servers", &backend.id, &backend.entry(seq));
                 }
                 thread::sleep(HEARTBEAT);
@@ -124,41 +126,48 @@
             }
         }));
     }
-    thread::sleep(Duration::from_secs(5));
-    let silent = record.now();
-    if has_trouble {
-        record.say("all open connections to the store go silent; new ones work");
-        store.silence();
+    // Long enough for the instances not to act in step any more after their start.
+    thread::sleep(Duration::from_secs(22));
+    let mut windows = Vec::new();
+    for leaving in &backends[..EPISODES] {
+        let silent = record.now();
+        if has_trouble {
+            record.say("all open connections to the store go silent; new ones work");
+            store.silence();
+        }
+        thread::sleep(Duration::from_millis(300));
+        left.fetch_add(1, Ordering::Relaxed);
+        store.remove("servers", &leaving.id);
+        let gone = record.now();
+        let id = &leaving.id;
+        record.say(&format!("the store has removed the entry of {id}, which goes on serving"));
+        thread::sleep(SERVES);
+        leaving.end();
+        record.say(&format!("{id} exits"));
+        // In touch: settleWindowMs after the connections went silent.
+        windows.push((leaving, gone, (gone + DRAIN_S).max(silent + SETTLE_S)));
+        thread::sleep(Duration::from_secs(8));
     }
-    thread::sleep(Duration::from_millis(300));
-    has_left.store(true, Ordering::Relaxed);
-    let leaving = &backends[0];
-    store.remove("servers", &leaving.id);
-    let gone = record.now();
-    record.say(&format!("the store has removed the entry of {}, which goes on serving", leaving.id));
-    thread::sleep(SERVES);
-    leaving.end();
-    record.say(&format!("{} exits", leaving.id));
-    thread::sleep(Duration::from_secs(6));
     stop.store(true, Ordering::Relaxed);
     for thread in threads {
         let _ = thread.join();
     }
-    // In touch: settleWindowMs after the connections went silent.
-    let from = (gone + DRAIN_S).max(silent + SETTLE_S);
-    let reached: HashSet<String> = leaving.reached_after(from).into_iter().collect();
     let sent = sent.lock().unwrap();
     let (mut late, mut lost) = (0, 0);
-    for (at, id, status) in sent.iter().filter(|it| it.0 > from && reached.contains(&it.1)) {
-        late += 1;
-        lost += u32::from(*status != 200);
-        record.say(&format!(
-            "{id}, sent {:.3} s after the acknowledgement, has reached it: answer {status}",
-            at - gone
-        ));
+    for (leaving, gone, from) in windows {
+        let reached: HashSet<String> = leaving.reached_after(from).into_iter().collect();
+        for (at, id, status) in sent.iter().filter(|it| it.0 > from && reached.contains(&it.1)) {
+            late += 1;
+            lost += u32::from(*status != 200);
+            record.say(&format!(
+                "{id}, sent {:.3} s after the acknowledgement, has reached {}: answer {status}",
+                at - gone,
+                leaving.id
+            ));
+        }
     }
     record.say(&format!(
-        "{late} requests too late, of {}; {lost} of them, which may run only once, were cut off by its exit",
+        "{late} requests too late, of {}; {lost} of them, which may run only once, were cut off by an exit",
         sent.len()
     ));
     record.say(if late > 0 { "DRAIN is broken" } else { "DRAIN holds" });
