--- /dev/null
+++ b/review/standin-2/cases/mod.rs
@@ -0,0 +1,8 @@
+//! One file a case.
+
+pub mod bytes;
+pub mod entry;
+pub mod upload;
+
+/// What was broken, if anything; or why the case could not run.
+pub type Outcome = Result<Option<String>, String>;
