--- a/review/standin-2/cases/bytes.rs
+++ b/review/standin-2/cases/bytes.rs
@@ -13,7 +13,7 @@
 use super::Outcome;
 use crate::{
     http::{self, Connection},
-    rig::{Backend, Fault, Instance, Record, Runs, Tally, configure, gather, no_fault, route},
+    rig::{Backend, Fault, Instance, Power, Record, Runs, Tally, configure, gather, no_fault, route},
     store::Store,
 };
 
@@ -46,7 +46,7 @@
             Some(stream.write_all(&extra).is_ok())
         })
     };
-    let work = Duration::from_millis(5);
+    let work = Power { work: Duration::from_millis(5), slots: 4 };
     let start = |name: &str, service: &str, fault: Fault| {
         let it = Backend::start(name, service, "riga-a", work, &runs, record, fault);
         it.register(&store, "ready");
--- a/review/standin-2/cases/entry.rs
+++ b/review/standin-2/cases/entry.rs
@@ -11,7 +11,7 @@
 use super::Outcome;
 use crate::{
     http::Connection,
-    rig::{Backend, Instance, Record, Runs, Tally, configure, no_fault, route},
+    rig::{Backend, Instance, Power, Record, Runs, Tally, configure, no_fault, route},
     store::Store,
 };
 
@@ -24,7 +24,7 @@
     let (store, runs) = (Store::default(), Runs::default());
     let address = store.serve();
     let backend = |name: &str| {
-        let work = Duration::from_millis(10);
+        let work = Power { work: Duration::from_millis(10), slots: 4 };
         Backend::start(name, "order-desk", "riga-a", work, &runs, record, no_fault())
     };
     let backends = [backend("i-1"), backend("i-2"), backend("i-3")];
--- a/review/standin-2/cases/mod.rs
+++ b/review/standin-2/cases/mod.rs
@@ -2,6 +2,9 @@
 
 pub mod bytes;
 pub mod entry;
+pub mod fuzz;
+pub mod freeze;
+pub mod twice;
 pub mod upload;
 
 /// What was broken, if anything; or why the case could not run.
--- /dev/null
+++ b/review/standin-2/cases/twice.rs
@@ -0,0 +1,143 @@
+//! A faulty backend sends an answer once more, late, where its next answer is expected.
+
+use std::{
+    collections::HashMap,
+    io::Write,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use super::Outcome;
+use crate::{
+    http::{self, Connection},
+    rig::{Backend, Fault, Instance, Power, Record, Runs, Tally, configure, no_fault, route},
+    store::Store,
+};
+
+/// Clients, and the requests that each of them sends, one after the other.
+const CLIENTS: u32 = 6;
+const REQUESTS: u32 = 150;
+
+/// Of the requests at the backend, each so many'th finds it full.
+const FULL_EACH: u64 = 25;
+
+pub fn run(record: &Record, trouble: bool) -> Outcome {
+    let (store, runs) = (Store::default(), Runs::default());
+    let address = store.serve();
+    let refused = Arc::new(Mutex::new(Vec::new()));
+    // Backends of one service differ in speed.
+    for (name, work_ms) in [("i-1", 20), ("i-2", 26)] {
+        let work = Power { work: Duration::from_millis(work_ms), slots: 4 };
+        let fault = if name == "i-1" { full(record, &refused, trouble) } else { no_fault() };
+        let it = Backend::start(name, "order-desk", "riga-a", work, &runs, record, fault);
+        it.register(&store, "ready");
+    }
+    let routes = [route("r-1", "/orders/", "non_idempotent", "order-desk", 5_000)];
+    configure(&store, 3, &routes, &["order-desk"]);
+    let mut instance = Instance::new("edge-riga-a-1", "riga-a", address);
+    instance.start().map_err(|e| e.to_string())?;
+    if !instance.wait_ready() {
+        return Err("the instance is not ready".into());
+    }
+    thread::sleep(Duration::from_secs(6));
+    let tally = Tally::default();
+    let answers: Arc<Mutex<HashMap<String, String>>> = Arc::default();
+    let clients: Vec<_> = (1..=CLIENTS)
+        .map(|client| {
+            let (record, tally, answers) = (record.clone(), tally.clone(), Arc::clone(&answers));
+            let front = instance.front;
+            thread::spawn(move || {
+                let mut link: Option<Connection> = None;
+                for number in 1..=REQUESTS {
+                    let id = format!("c{client}-{number}");
+                    if link.as_mut().is_none_or(Connection::is_over) {
+                        link = Connection::open(front, Duration::from_secs(6)).ok();
+                    }
+                    let sent = link.as_mut().and_then(|it| post(it, &id, &record).ok());
+                    if sent.is_none() {
+                        link = None;
+                    }
+                    let text = sent.map_or("none".to_owned(), |status| status.to_string());
+                    record.line(&format!("answer   {id} {text}"));
+                    tally.add(&text);
+                    answers.lock().expect("no panic").insert(id, text);
+                    thread::sleep(Duration::from_millis(100));
+                }
+            })
+        })
+        .collect();
+    for client in clients {
+        client.join().map_err(|_| "a client failed")?;
+    }
+    let answers = answers.lock().map_err(|_| "a client failed")?.clone();
+    thread::sleep(Duration::from_secs(1));
+    record.line(&format!("answers  {tally}"));
+    let refused = refused.lock().map_err(|_| "a backend failed")?.clone();
+    let (mut twice, mut untrue) = (Vec::new(), Vec::new());
+    for (id, answer) in &answers {
+        let ran: Vec<_> = runs.of(id).into_iter().filter(|run| !refused.contains(&run.stamp)).collect();
+        if ran.len() > 1 {
+            let by: Vec<&str> = ran.iter().map(|run| run.backend.as_str()).collect();
+            record.line(&format!("twice    {id} was run by {}, answered {answer}", by.join(" and ")));
+            twice.push(id.clone());
+        }
+        if !ran.is_empty() && (answer == "503" || answer == "429") {
+            record.line(&format!("refused  {id} has run and was answered {answer}"));
+            untrue.push(id.clone());
+        }
+    }
+    if twice.is_empty() && untrue.is_empty() {
+        return Ok(None);
+    }
+    Ok(Some(format!(
+        "TWICE: {} of {} requests that aren't idempotent ran more than once ({}); REFUSED: {} \
+         ran and were answered 429 or 503 ({})",
+        twice.len(), CLIENTS * REQUESTS, twice.join(" "), untrue.len(), untrue.join(" ")
+    )))
+}
+
+/// Returns the behaviour of a backend that is full now and then and, with `trouble`, sends its
+/// refusal once more where its next answer is expected. A request that it refuses has not run.
+fn full(record: &Record, refused: &Arc<Mutex<Vec<String>>>, trouble: bool) -> Fault {
+    let count = AtomicU64::new(0);
+    // Connections on which a copy is due, by the address of the peer.
+    let due: Mutex<Vec<SocketAddr>> = Mutex::default();
+    let (record, refused) = (record.clone(), Arc::clone(refused));
+    Arc::new(move |_, run, sound, stream| {
+        let refusal = http::encode(503, &[("X-Not-Executed", "1")], b"");
+        let peer = stream.peer_addr().ok()?;
+        let mut due = due.lock().ok()?;
+        if let Some(at) = due.iter().position(|it| *it == peer) {
+            due.remove(at);
+            record.line(&format!("extra    i-1 sends its last answer once more, then that to {}", run.id));
+            let both = [refusal, sound.to_vec()].concat();
+            return Some(stream.write_all(&both).is_ok());
+        }
+        if count.fetch_add(1, Ordering::Relaxed) % FULL_EACH != FULL_EACH - 1 {
+            return None;
+        }
+        refused.lock().ok()?.push(run.stamp.clone());
+        record.line(&format!("full     i-1 does not run {}", run.id));
+        if trouble {
+            due.push(peer);
+        }
+        Some(stream.write_all(&refusal).is_ok())
+    })
+}
+
+fn post(link: &mut Connection, id: &str, record: &Record) -> std::io::Result<u16> {
+    record.line(&format!("send     {id} POST /orders/{id}"));
+    let body = format!("order {id}");
+    let head = format!(
+        "POST /orders/{id} HTTP/1.1\r\nHost: dts.example\r\nX-Request-Id: {id}\r\n\
+         X-Timeout-Remaining: 5000\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    link.output.write_all(head.as_bytes())?;
+    Ok(link.response()?.status)
+}
--- a/review/standin-2/cases/upload.rs
+++ b/review/standin-2/cases/upload.rs
@@ -10,7 +10,7 @@
 use super::Outcome;
 use crate::{
     http::Connection,
-    rig::{Backend, Instance, Record, Runs, Tally, configure, no_fault, route},
+    rig::{Backend, Instance, Power, Record, Runs, Tally, configure, no_fault, route},
     store::Store,
 };
 
@@ -31,7 +31,7 @@
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let (store, runs) = (Store::default(), Runs::default());
     let address = store.serve();
-    let work = Duration::from_millis(450);
+    let work = Power { work: Duration::from_millis(450), slots: 4 };
     for name in ["i-1", "i-2"] {
         let it = Backend::start(name, "order-desk", "riga-a", work, &runs, record, no_fault());
         it.register(&store, "ready");
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -18,6 +18,9 @@
     let outcome = match case.as_str() {
         "entry" => cases::entry::run(&record, trouble),
         "bytes" => cases::bytes::run(&record, trouble),
+        "freeze" => cases::freeze::run(&record, trouble),
+        "twice" => cases::twice::run(&record, trouble),
+        "fuzz" => cases::fuzz::run(&record, trouble),
         "upload" => cases::upload::run(&record, trouble),
         _ => Err(format!("there is no case {case:?}")),
     };
--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -8,7 +8,7 @@
     path::PathBuf,
     process::{Child, Command, Stdio},
     sync::{
-        Arc, Mutex,
+        Arc, Condvar, Mutex,
         atomic::{AtomicU64, Ordering},
     },
     thread,
@@ -20,6 +20,10 @@
     store::Store,
 };
 
+/// Connections that a backend accepts. One instance of the users' deployments has 50 / 12 to 68 / 12 of
+/// them.
+const MAX_CONNECTIONS: u32 = 5;
+
 /// Time in which a started instance has to be ready.
 const START_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -219,6 +223,13 @@
     }
 }
 
+/// What a backend can do: the time that a request takes, and how many it runs at a time.
+#[derive(Clone, Copy)]
+pub struct Power {
+    pub work: Duration,
+    pub slots: u32,
+}
+
 /// A sound backend, which can be given a fault.
 #[derive(Clone)]
 pub struct Backend {
@@ -228,6 +239,9 @@
     pub address: SocketAddr,
     pub born: u64,
     seq: Arc<AtomicU64>,
+    power: Power,
+    /// Number of free slots.
+    free: Arc<(Mutex<u32>, Condvar)>,
 }
 
 /// A fault of a backend: gets the run and the sound answer, and returns whether it has answered in
@@ -240,7 +254,7 @@
         name: &str,
         service: &str,
         zone: &str,
-        work: Duration,
+        power: Power,
         runs: &Runs,
         record: &Record,
         fault: Fault,
@@ -256,10 +270,12 @@
             address,
             born,
             seq: Arc::default(),
+            power,
+            free: Arc::new((Mutex::new(power.slots), Condvar::new())),
         };
         let (own, runs, record) = (backend.clone(), runs.clone(), record.clone());
         http::serve(listener, move |req, stream| {
-            own.answer(req, stream, work, &runs, &record, &fault)
+            own.answer(req, stream, &runs, &record, &fault)
         });
         backend
     }
@@ -268,7 +284,6 @@
         &self,
         req: &Request,
         stream: &mut TcpStream,
-        work: Duration,
         runs: &Runs,
         record: &Record,
         fault: &Fault,
@@ -298,7 +313,10 @@
         };
         runs.add(run.clone());
         record.line(&format!("run      {id} {} {} by {}", req.method, req.target, self.name));
-        thread::sleep(work);
+        if !self.work(stream) {
+            record.line(&format!("dropped  {id} by {}", self.name));
+            return false;
+        }
         let headers = [("X-Request-Id", id.as_str()), ("X-Server-Stamp", run.stamp.as_str())];
         let sound = http::encode(200, &headers, &run.body);
         match fault(req, &run, &sound, stream) {
@@ -307,6 +325,27 @@
         }
     }
 
+    /// Waits for a slot and works; returns false if the connection has closed meanwhile.
+    fn work(&self, stream: &TcpStream) -> bool {
+        const STEP: Duration = Duration::from_millis(5);
+        let (free, changed) = &*self.free;
+        {
+            let mut free = free.lock().expect("no panic");
+            while *free == 0 {
+                free = changed.wait(free).expect("no panic");
+            }
+            *free -= 1;
+        }
+        let mut left = self.power.work;
+        while !left.is_zero() && is_open(stream) {
+            thread::sleep(STEP.min(left));
+            left = left.saturating_sub(STEP);
+        }
+        *free.lock().expect("no panic") += 1;
+        changed.notify_one();
+        is_open(stream)
+    }
+
     /// Writes the backend's entry; returns the time of the acknowledgement.
     pub fn register(&self, store: &Store, state: &str) -> Instant {
         let seq = self.seq.fetch_add(1, Ordering::Relaxed) + 1;
@@ -318,6 +357,17 @@
     }
 }
 
+fn is_open(stream: &TcpStream) -> bool {
+    let _ = stream.set_nonblocking(true);
+    let mut byte = [0];
+    let is_open = match stream.peek(&mut byte) {
+        Ok(read) => read > 0,
+        Err(e) => e.kind() == io::ErrorKind::WouldBlock,
+    };
+    let _ = stream.set_nonblocking(false);
+    is_open
+}
+
 /// Returns a sound backend's fault: none.
 pub fn no_fault() -> Fault {
     Arc::new(|_, _, _, _| None)
@@ -341,10 +391,11 @@
 
 /// Writes a configuration as the operator does; returns the time of the acknowledgement.
 pub fn configure(store: &Store, version: u64, routes: &[String], services: &[&str]) -> Instant {
+    let max_connections = MAX_CONNECTIONS;
     let services: Vec<String> = services
         .iter()
         .map(|name| {
-            format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":50,"protocol":"h1","tls":false}}"#)
+            format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":{max_connections},"protocol":"h1","tls":false}}"#)
         })
         .collect();
     let spec = format!(
@@ -365,6 +416,16 @@
     }
 }
 
+impl Tally {
+    pub fn count(&self, what: &str) -> u64 {
+        self.0.lock().expect("no panic").get(what).copied().unwrap_or(0)
+    }
+
+    pub fn total(&self) -> u64 {
+        self.0.lock().expect("no panic").values().sum()
+    }
+}
+
 impl std::fmt::Display for Tally {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         write!(f, "{:?}", self.0.lock().expect("no panic"))
