--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -8,19 +8,24 @@
 
 fn main() {
     let mut args = std::env::args().skip(1);
-    let (case, path) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
+    let (case, path) = (
+        args.next().unwrap_or_default(),
+        args.next().unwrap_or_default(),
+    );
     let trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     let Ok(record) = rig::Record::create(&path) else {
         eprintln!("the record can't be written: {path}");
         std::process::exit(2);
     };
-    record.line(&format!("case     {case}, {} the disruption", if trouble { "with" } else { "without" }));
+    record.line(&format!(
+        "case     {case}, {} the disruption",
+        if trouble { "with" } else { "without" }
+    ));
     let outcome = match case.as_str() {
         "entry" => cases::entry::run(&record, trouble),
         "bytes" => cases::bytes::run(&record, trouble),
         "freeze" => cases::freeze::run(&record, trouble),
         "twice" => cases::twice::run(&record, trouble),
-        "fuzz" => cases::fuzz::run(&record, trouble),
         "upload" => cases::upload::run(&record, trouble),
         _ => Err(format!("there is no case {case:?}")),
     };
