--- a/review/standin-2/cases/mod.rs
+++ b/review/standin-2/cases/mod.rs
@@ -1,6 +1,7 @@
 //! One file a case.
 
 pub mod bytes;
+pub mod crash;
 pub mod entry;
 pub mod freeze;
 pub mod twice;
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -26,6 +26,7 @@
         "bytes" => cases::bytes::run(&record, trouble),
         "freeze" => cases::freeze::run(&record, trouble),
         "twice" => cases::twice::run(&record, trouble),
+        "crash" => cases::crash::run(&record, trouble),
         "upload" => cases::upload::run(&record, trouble),
         _ => Err(format!("there is no case {case:?}")),
     };
--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -52,15 +52,15 @@
     }
 }
 
-/// Returns consecutive free ports.
+/// Returns consecutive free ports, others for each instance of each process.
 fn free_ports(count: u16) -> u16 {
+    static NEXT: AtomicU64 = AtomicU64::new(0);
     loop {
-        let first = TcpListener::bind("127.0.0.1:0").expect("a free port");
-        let port = first.local_addr().expect("an address").port();
-        let others: Vec<_> = (1..count)
-            .map_while(|at| TcpListener::bind(("127.0.0.1", port.checked_add(at)?)).ok())
-            .collect();
-        if others.len() + 1 == usize::from(count) {
+        let at = NEXT.fetch_add(1, Ordering::Relaxed);
+        // Below the range from which the system hands out ports.
+        let port = 11_000 + ((u64::from(std::process::id()) * 64 + at * 16) % 21_000) as u16;
+        let free = (0..count).map_while(|at| TcpListener::bind(("127.0.0.1", port + at)).ok());
+        if free.count() == usize::from(count) {
             return port;
         }
     }
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -45,6 +45,11 @@
         Instant::now()
     }
 
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        self.write(kind, name, None);
+    }
+
     /// Returns how often each kind of call was made.
     pub fn calls(&self) -> BTreeMap<String, u64> {
         self.0.0.lock().expect("no panic").calls.clone()
