--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/bash
-# Builds the stand-ins that the scripts in 6 to 9 start. Needs no network and no packages.
+# Builds the stand-ins that the scripts in 6 to 10 start. Needs no network and no packages.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/standin-2/cases/crash.rs
+++ b/review/standin-2/cases/crash.rs
@@ -1,20 +1,23 @@
 //! A request crashes each backend that begins to run it, and comes again after each rolling restart.
 
 use std::{
-    io::{self, BufReader, Write},
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    io,
+    net::SocketAddr,
     sync::{
-        Arc, Mutex,
-        atomic::{AtomicBool, AtomicU64, Ordering},
+        Arc,
+        atomic::{AtomicBool, Ordering},
     },
     thread,
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
-use super::Outcome;
+use super::{
+    Outcome,
+    crashing::{CRASH_PATH, Machine},
+};
 use crate::{
-    http::{self, Connection},
-    rig::{Instance, Record, Run, Runs, Tally, configure, next_number, route},
+    http::Connection,
+    rig::{Instance, Record, Run, Runs, Tally, configure, route},
     store::Store,
 };
 
@@ -24,148 +27,16 @@
 const CRASHES: usize = 3;
 const MAX_RETRIES: usize = 3;
 
-/// Time for which a backend that has crashed is away.
-const AWAY: Duration = Duration::from_secs(3);
-
-/// Time of three heartbeats, after which the store removes the entry of a silent backend.
-const LAPSE: Duration = Duration::from_millis(3_600);
-
 const BACKENDS: usize = 8;
-const CRASH_PATH: &str = "/orders/crash";
 
 /// How often the request comes, and a rolling restart between two times.
 const TIMES: usize = 6;
 
-/// A backend machine, on which one incarnation after the other runs.
-struct Machine {
-    address: SocketAddr,
-    store: Store,
-    runs: Runs,
-    record: Record,
-    starts: AtomicU64,
-    has_crashed: AtomicBool,
-    open: Mutex<Vec<TcpStream>>,
-}
-
-impl Machine {
-    fn run(self: Arc<Self>, listener: TcpListener) {
-        let mut listener = Some(listener);
-        loop {
-            let name = format!(
-                "i-{}-{}",
-                self.address.port(),
-                self.starts.fetch_add(1, Ordering::Relaxed)
-            );
-            let bound = listener
-                .take()
-                .map_or_else(|| TcpListener::bind(self.address), Ok);
-            let Ok(bound) = bound else {
-                thread::sleep(Duration::from_millis(50));
-                continue;
-            };
-            let _ = bound.set_nonblocking(true);
-            self.has_crashed.store(false, Ordering::Relaxed);
-            let born = SystemTime::now()
-                .duration_since(UNIX_EPOCH)
-                .map_or(0, |it| it.as_millis());
-            let spec = format!(
-                r#"{{"service":"order-desk","addr":"{}","zone":"riga-a","version":"v1","slots":2,"state":"ready","coldLeftMs":0,"seq":1,"born":{born}}}"#,
-                self.address
-            );
-            self.store.put("servers", &name, spec.as_bytes());
-            while !self.has_crashed.load(Ordering::Relaxed) {
-                match bound.accept() {
-                    Ok((stream, _)) => self.serve(stream, &name),
-                    Err(_) => thread::sleep(Duration::from_millis(2)),
-                }
-            }
-            drop(bound);
-            for stream in self.open.lock().expect("no panic").drain(..) {
-                let _ = stream.shutdown(Shutdown::Both);
-            }
-            let store = self.store.clone();
-            thread::spawn(move || {
-                thread::sleep(LAPSE);
-                store.remove("servers", &name);
-            });
-            thread::sleep(AWAY);
-        }
-    }
-
-    fn serve(self: &Arc<Self>, mut stream: TcpStream, name: &str) {
-        let (own, name) = (Arc::clone(self), name.to_owned());
-        let _ = stream.set_nonblocking(false);
-        let _ = stream.set_nodelay(true);
-        let (Ok(input), Ok(kept)) = (stream.try_clone(), stream.try_clone()) else {
-            return;
-        };
-        self.open.lock().expect("no panic").push(kept);
-        thread::spawn(move || {
-            let mut input = BufReader::new(input);
-            while let Ok(req) = http::read_request(&mut input) {
-                if !own.answer(&req, &mut stream, &name) {
-                    return;
-                }
-            }
-        });
-    }
-
-    fn answer(&self, req: &http::Request, stream: &mut TcpStream, name: &str) -> bool {
-        if self.has_crashed.load(Ordering::Relaxed) {
-            return false;
-        }
-        if req.target == "/health" {
-            return stream
-                .write_all(&http::encode(200, &[("X-Instance-Id", name)], b""))
-                .is_ok();
-        }
-        let id = req.header("X-Request-Id").to_owned();
-        let expected = req.header("X-Expect-Instance");
-        if !expected.is_empty() && expected != name {
-            let headers = [("X-Request-Id", id.as_str()), ("X-Not-Executed", "1")];
-            return stream.write_all(&http::encode(421, &headers, b"")).is_ok();
-        }
-        let number = next_number();
-        let run = Run {
-            stamp: format!("{name}.{number}"),
-            body: format!("{number:016}").into_bytes(),
-            id: id.clone(),
-            backend: name.to_owned(),
-            at: Instant::now(),
-        };
-        if req.target == CRASH_PATH {
-            self.runs.add(run);
-            self.record
-                .line(&format!("crash    {name} begins to run {id} and crashes"));
-            self.has_crashed.store(true, Ordering::Relaxed);
-            return false;
-        }
-        thread::sleep(Duration::from_millis(20));
-        let headers = [
-            ("X-Request-Id", id.as_str()),
-            ("X-Server-Stamp", run.stamp.as_str()),
-        ];
-        stream
-            .write_all(&http::encode(200, &headers, &run.body))
-            .is_ok()
-    }
-}
-
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let (store, runs) = (Store::default(), Runs::default());
     let address = store.serve();
     for _ in 0..BACKENDS {
-        let listener = TcpListener::bind("127.0.0.1:0").map_err(|e| e.to_string())?;
-        let machine = Arc::new(Machine {
-            address: listener.local_addr().map_err(|e| e.to_string())?,
-            store: store.clone(),
-            runs: runs.clone(),
-            record: record.clone(),
-            starts: AtomicU64::new(0),
-            has_crashed: AtomicBool::new(false),
-            open: Mutex::default(),
-        });
-        thread::spawn(move || machine.run(listener));
+        Machine::start("order-desk", true, &store, &runs, record).map_err(|e| e.to_string())?;
     }
     let routes = [route("r-1", "/orders/", "idempotent", "order-desk", 2_000)];
     configure(&store, 3, &routes, &["order-desk"]);
--- a/review/standin-2/cases/mod.rs
+++ b/review/standin-2/cases/mod.rs
@@ -2,6 +2,8 @@
 
 pub mod bytes;
 pub mod crash;
+mod crashing;
+pub mod hammer;
 pub mod twice;
 pub mod upload;
 
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -24,6 +24,7 @@
     let outcome = match case.as_str() {
         "bytes" => cases::bytes::run(&record, trouble),
         "twice" => cases::twice::run(&record, trouble),
+        "hammer" => cases::hammer::run(&record, trouble),
         "crash" => cases::crash::run(&record, trouble),
         "upload" => cases::upload::run(&record, trouble),
         _ => Err(format!("there is no case {case:?}")),
