--- a/review/standin-2/cases/crash.rs
+++ b/review/standin-2/cases/crash.rs
@@ -58,21 +58,27 @@
     let tally = Tally::default();
     let usual = {
         let (is_over, tally, fronts) = (Arc::clone(&is_over), tally.clone(), fronts.clone());
+        let record = record.clone();
         thread::spawn(move || {
             for number in 0_usize.. {
                 if is_over.load(Ordering::Relaxed) {
                     return;
                 }
-                let id = format!("u{number}");
-                let sent =
-                    get(fronts[number % 2], &format!("/orders/{number}"), &id).or_else(|_| {
-                        get(
-                            fronts[(number + 1) % 2],
-                            &format!("/orders/{number}"),
-                            &format!("{id}r"),
-                        )
-                    });
-                tally.add(&sent.map_or_else(|_| "none".to_owned(), |it| it.to_string()));
+                let target = format!("/orders/{number}");
+                // Once more at the other machine if the first one does not answer.
+                for (at, id) in [
+                    (number, format!("u{number}")),
+                    (number + 1, format!("u{number}r")),
+                ] {
+                    record.line(&format!("send     {id} GET {target}"));
+                    let end = get(fronts[at % 2], &target, &id);
+                    let text = end.as_ref().map_or("none".to_owned(), u16::to_string);
+                    record.line(&format!("answer   {id} {text}"));
+                    tally.add(&text);
+                    if end.is_ok() {
+                        break;
+                    }
+                }
                 thread::sleep(Duration::from_millis(40));
             }
         })
--- a/review/standin-2/cases/crashing.rs
+++ b/review/standin-2/cases/crashing.rs
@@ -157,6 +157,10 @@
             self.has_crashed.store(true, Ordering::Relaxed);
             return false;
         }
+        self.record.line(&format!(
+            "run      {id} {} {} by {name}",
+            req.method, req.target
+        ));
         thread::sleep(Duration::from_millis(20));
         let headers = [
             ("X-Request-Id", id.as_str()),
--- a/review/standin-2/cases/hammer.rs
+++ b/review/standin-2/cases/hammer.rs
@@ -66,18 +66,18 @@
     let is_over = Arc::new(AtomicBool::new(false));
     let usual = |name: &'static str, path: &'static str| {
         let (is_over, tally, front) = (Arc::clone(&is_over), Tally::default(), instance.front);
-        let counted = tally.clone();
+        let (counted, record) = (tally.clone(), record.clone());
         let client = thread::spawn(move || {
             for number in 0_usize.. {
                 if is_over.load(Ordering::Relaxed) {
                     return;
                 }
-                let end = get(
-                    front,
-                    &format!("{path}{number}"),
-                    &format!("{name}{number}"),
-                );
-                tally.add(&end.map_or_else(|_| "none".to_owned(), |it| it.to_string()));
+                let (target, id) = (format!("{path}{number}"), format!("{name}{number}"));
+                record.line(&format!("send     {id} GET {target}"));
+                let end = get(front, &target, &id);
+                let end = end.map_or_else(|_| "none".to_owned(), |it| it.to_string());
+                record.line(&format!("answer   {id} {end}"));
+                tally.add(&end);
                 thread::sleep(Duration::from_millis(60));
             }
         });
