--- a/review/standin-2/cases/bytes.rs
+++ b/review/standin-2/cases/bytes.rs
@@ -38,7 +38,7 @@
             no_fault()
         };
         let name = format!("i-{at}");
-        let it = Backend::start(&name, shard, "riga-a", power, &runs, record, fault);
+        let it = Backend::start(&name, shard, "riga-a", power, &runs, record, fault, None);
         it.register(&store, "ready");
     }
     let services: Vec<&str> = shards.iter().map(String::as_str).collect();
--- a/review/standin-2/cases/crash.rs
+++ b/review/standin-2/cases/crash.rs
@@ -55,30 +55,31 @@
     thread::sleep(Duration::from_secs(6));
     let fronts: Vec<SocketAddr> = instances.iter().map(|it| it.front).collect();
     let is_over = Arc::new(AtomicBool::new(false));
+    let in_rotation = rotation(instances.iter().map(|it| it.ready).collect(), &is_over);
     let tally = Tally::default();
     let usual = {
         let (is_over, tally, fronts) = (Arc::clone(&is_over), tally.clone(), fronts.clone());
         let record = record.clone();
+        let in_rotation = Arc::clone(&in_rotation);
         thread::spawn(move || {
             for number in 0_usize.. {
                 if is_over.load(Ordering::Relaxed) {
                     return;
                 }
                 let target = format!("/orders/{number}");
-                // Once more at the other machine if the first one does not answer.
-                for (at, id) in [
-                    (number, format!("u{number}")),
-                    (number + 1, format!("u{number}r")),
-                ] {
-                    record.line(&format!("send     {id} GET {target}"));
-                    let end = get(fronts[at % 2], &target, &id);
-                    let text = end.as_ref().map_or("none".to_owned(), u16::to_string);
-                    record.line(&format!("answer   {id} {text}"));
-                    tally.add(&text);
-                    if end.is_ok() {
-                        break;
-                    }
-                }
+                // The platform passes it to a machine in rotation.
+                let is_in = |at: usize| in_rotation[at].load(Ordering::Relaxed);
+                let at = if is_in(number % 2) {
+                    number % 2
+                } else {
+                    (number + 1) % 2
+                };
+                let id = format!("u{number}");
+                record.line(&format!("send     {id} GET {target}"));
+                let end = get(fronts[at], &target, &id);
+                let text = end.map_or_else(|_| "none".to_owned(), |it| it.to_string());
+                record.line(&format!("answer   {id} {text}"));
+                tally.add(&text);
                 thread::sleep(Duration::from_millis(40));
             }
         })
@@ -132,6 +133,28 @@
     }))
 }
 
+/// Asks each machine once a second whether it is ready, as the platform does. Two misses take it out of
+/// rotation.
+fn rotation(ready: Vec<SocketAddr>, is_over: &Arc<AtomicBool>) -> Arc<Vec<AtomicBool>> {
+    let in_rotation: Arc<Vec<AtomicBool>> =
+        Arc::new(ready.iter().map(|_| AtomicBool::new(true)).collect());
+    let (is_over, shown) = (Arc::clone(is_over), Arc::clone(&in_rotation));
+    thread::spawn(move || {
+        let mut misses = vec![0; ready.len()];
+        while !is_over.load(Ordering::Relaxed) {
+            for (at, address) in ready.iter().enumerate() {
+                let reply = Connection::open(*address, Duration::from_secs(1))
+                    .and_then(|mut link| link.get("/-/ready", &[("Host", "platform")]));
+                let is_ready = reply.is_ok_and(|it| it.status == 200);
+                misses[at] = if is_ready { 0 } else { misses[at] + 1 };
+                shown[at].store(misses[at] < 2, Ordering::Relaxed);
+            }
+            thread::sleep(Duration::from_secs(1));
+        }
+    });
+    in_rotation
+}
+
 /// Stops an instance as the platform does, and starts it again.
 fn restart(instance: &mut Instance, record: &Record) -> Result<(), String> {
     record.line("signal   SIGTERM");
--- a/review/standin-2/cases/twice.rs
+++ b/review/standin-2/cases/twice.rs
@@ -15,7 +15,9 @@
 use super::Outcome;
 use crate::{
     http::{self, Connection},
-    rig::{Backend, Fault, Instance, Power, Record, Runs, Tally, configure, no_fault, route},
+    rig::{
+        Backend, Fault, Instance, Power, Record, Refuse, Runs, Tally, configure, no_fault, route,
+    },
     store::Store,
 };
 
@@ -33,18 +35,26 @@
 pub fn run(record: &Record, trouble: bool) -> Outcome {
     let (store, runs) = (Store::default(), Runs::default());
     let address = store.serve();
-    let refused = Arc::new(Mutex::new(Vec::new()));
+    let due = Due::default();
     let power = Power {
         work: Duration::from_millis(20),
         slots: 4,
     };
     for (name, zone) in [("i-1", "riga-a"), ("i-2", "riga-b")] {
-        let fault = if name == "i-1" {
-            full(record, &refused, trouble)
-        } else {
-            no_fault()
+        let (fault, refuse) = match name {
+            "i-1" => (extra(record, &due), full(record, &due, trouble)),
+            _ => (no_fault(), None),
         };
-        let it = Backend::start(name, "order-desk", zone, power, &runs, record, fault);
+        let it = Backend::start(
+            name,
+            "order-desk",
+            zone,
+            power,
+            &runs,
+            record,
+            fault,
+            refuse,
+        );
         it.register(&store, "ready");
     }
     let routes = [route(
@@ -93,14 +103,9 @@
     let answers = answers.lock().map_err(|_| "a client failed")?.clone();
     thread::sleep(Duration::from_secs(1));
     record.line(&format!("answers  {tally}"));
-    let refused = refused.lock().map_err(|_| "a backend failed")?.clone();
     let (mut twice, mut untrue) = (Vec::new(), Vec::new());
     for (id, answer) in &answers {
-        let ran: Vec<_> = runs
-            .of(id)
-            .into_iter()
-            .filter(|run| !refused.contains(&run.stamp))
-            .collect();
+        let ran = runs.of(id);
         if ran.len() > 1 {
             let by: Vec<&str> = ran.iter().map(|run| run.backend.as_str()).collect();
             record.line(&format!(
@@ -128,38 +133,48 @@
     )))
 }
 
-/// Returns the behaviour of a backend that is full now and then and, with `trouble`, sends its
-/// refusal once more where its next answer is expected. A request that it refuses has not run.
-fn full(record: &Record, refused: &Arc<Mutex<Vec<String>>>, trouble: bool) -> Fault {
+/// Connections on which a copy of the last refusal is due, by the address of the peer.
+type Due = Arc<Mutex<Vec<SocketAddr>>>;
+
+const REFUSAL: [(&str, &str); 1] = [("X-Not-Executed", "1")];
+
+/// Returns how a backend that is full now and then refuses requests, which do not run. With `trouble`,
+/// some refusals are noted to be sent once more.
+fn full(record: &Record, due: &Due, trouble: bool) -> Refuse {
     let (answers, extras) = (AtomicU64::new(0), AtomicU64::new(0));
-    // Connections on which a copy is due, by the address of the peer.
-    let due: Mutex<Vec<SocketAddr>> = Mutex::default();
-    let (record, refused, start) = (record.clone(), Arc::clone(refused), Instant::now());
-    Arc::new(move |_, run, sound, stream| {
-        let refusal = http::encode(503, &[("X-Not-Executed", "1")], b"");
+    let (record, due, start) = (record.clone(), Arc::clone(due), Instant::now());
+    Some(Arc::new(move |id, stream| {
         let peer = stream.peer_addr().ok()?;
         let so_far = answers.fetch_add(1, Ordering::Relaxed);
-        let mut due = due.lock().ok()?;
-        if let Some(at) = due.iter().position(|it| *it == peer) {
-            due.remove(at);
-            record.line(&format!(
-                "extra    i-1 sends its last answer once more, then that to {}",
-                run.id
-            ));
-            let both = [refusal, sound.to_vec()].concat();
-            return Some(stream.write_all(&both).is_ok());
-        }
         let phase = start.elapsed().as_millis() % FULL_EACH.as_millis();
-        if phase >= FULL_FOR.as_millis() {
+        let mut due = due.lock().ok()?;
+        if phase >= FULL_FOR.as_millis() || due.contains(&peer) {
             return None;
         }
-        refused.lock().ok()?.push(run.stamp.clone());
-        record.line(&format!("full     i-1 does not run {}", run.id));
+        record.line(&format!("full     i-1 refuses {id}"));
         if trouble && (extras.load(Ordering::Relaxed) + 1) * EXTRA_EACH <= so_far {
             extras.fetch_add(1, Ordering::Relaxed);
             due.push(peer);
         }
-        Some(stream.write_all(&refusal).is_ok())
+        Some(stream.write_all(&http::encode(503, &REFUSAL, b"")).is_ok())
+    }))
+}
+
+/// Returns the fault of that backend: it sends a refusal once more where its next answer on the
+/// connection is expected, and then that answer.
+fn extra(record: &Record, due: &Due) -> Fault {
+    let (record, due) = (record.clone(), Arc::clone(due));
+    Arc::new(move |_, run, sound, stream| {
+        let peer = stream.peer_addr().ok()?;
+        let mut due = due.lock().ok()?;
+        let at = due.iter().position(|it| *it == peer)?;
+        due.remove(at);
+        record.line(&format!(
+            "extra    i-1 sends its last answer once more, then that to {}",
+            run.id
+        ));
+        let both = [http::encode(503, &REFUSAL, b""), sound.to_vec()].concat();
+        Some(stream.write_all(&both).is_ok())
     })
 }
 
--- a/review/standin-2/cases/upload.rs
+++ b/review/standin-2/cases/upload.rs
@@ -44,6 +44,7 @@
             &runs,
             record,
             no_fault(),
+            None,
         );
         it.register(&store, "ready");
     }
--- a/review/standin-2/rig.rs
+++ b/review/standin-2/rig.rs
@@ -243,6 +243,9 @@
 /// place of the backend, and whether the connection is kept.
 pub type Fault = Arc<dyn Fn(&Request, &Run, &[u8], &mut TcpStream) -> Option<bool> + Send + Sync>;
 
+/// Refuses a request of an id before it runs: returns whether the connection is kept then.
+pub type Refuse = Option<Arc<dyn Fn(&str, &mut TcpStream) -> Option<bool> + Send + Sync>>;
+
 impl Backend {
     /// Starts a backend that answers after a time.
     pub fn start(
@@ -253,6 +256,7 @@
         runs: &Runs,
         record: &Record,
         fault: Fault,
+        refuse: Refuse,
     ) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
         let address = listener.local_addr().expect("an address");
@@ -270,7 +274,7 @@
         };
         let (own, runs, record) = (backend.clone(), runs.clone(), record.clone());
         http::serve(listener, move |req, stream| {
-            own.answer(req, stream, &runs, &record, &fault)
+            own.answer(req, stream, &runs, &record, &fault, &refuse)
         });
         backend
     }
@@ -282,6 +286,7 @@
         runs: &Runs,
         record: &Record,
         fault: &Fault,
+        refuse: &Refuse,
     ) -> bool {
         let id = req.header("X-Request-Id").to_owned();
         if req.target == "/health" {
@@ -298,6 +303,12 @@
                 .write_all(&http::encode(400, &[("X-Not-Executed", "1")], b""))
                 .is_ok();
         }
+        if let Some(kept) = refuse.as_ref().and_then(|refuse| refuse(&id, stream)) {
+            return kept;
+        }
+        let Some(slot) = self.take_slot(stream) else {
+            return false;
+        };
         let number = next_number();
         let run = Run {
             stamp: format!("{}.{number}", self.name),
@@ -312,10 +323,11 @@
             "run      {id} {} {} by {}",
             req.method, req.target, self.name
         ));
-        if !self.work(stream) {
+        if !work(stream, self.power.work) {
             record.line(&format!("dropped  {id} by {}", self.name));
             return false;
         }
+        drop(slot);
         let headers = [
             ("X-Request-Id", id.as_str()),
             ("X-Server-Stamp", run.stamp.as_str()),
@@ -327,25 +339,17 @@
         }
     }
 
-    /// Waits for a slot and works; returns false if the connection has closed meanwhile.
-    fn work(&self, stream: &TcpStream) -> bool {
-        const STEP: Duration = Duration::from_millis(5);
+    /// Waits for a slot; `None` if the connection has closed meanwhile.
+    fn take_slot(&self, stream: &TcpStream) -> Option<Slot> {
         let (free, changed) = &*self.free;
-        {
-            let mut free = free.lock().expect("no panic");
-            while *free == 0 {
-                free = changed.wait(free).expect("no panic");
-            }
-            *free -= 1;
-        }
-        let mut left = self.power.work;
-        while !left.is_zero() && is_open(stream) {
-            thread::sleep(STEP.min(left));
-            left = left.saturating_sub(STEP);
+        let mut free = free.lock().expect("no panic");
+        while *free == 0 {
+            free = changed.wait(free).expect("no panic");
         }
-        *free.lock().expect("no panic") += 1;
-        changed.notify_one();
-        is_open(stream)
+        *free -= 1;
+        drop(free);
+        let slot = Slot(Arc::clone(&self.free));
+        is_open(stream).then_some(slot)
     }
 
     /// Writes the backend's entry; returns the time of the acknowledgement.
@@ -359,6 +363,27 @@
     }
 }
 
+/// A slot that is taken; dropping it frees it.
+struct Slot(Arc<(Mutex<u32>, Condvar)>);
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        *self.0.0.lock().expect("no panic") += 1;
+        self.0.1.notify_one();
+    }
+}
+
+/// Works for a time; returns false if the connection has closed meanwhile.
+pub fn work(stream: &TcpStream, time: Duration) -> bool {
+    const STEP: Duration = Duration::from_millis(5);
+    let mut left = time;
+    while !left.is_zero() && is_open(stream) {
+        thread::sleep(STEP.min(left));
+        left = left.saturating_sub(STEP);
+    }
+    is_open(stream)
+}
+
 fn is_open(stream: &TcpStream) -> bool {
     let _ = stream.set_nonblocking(true);
     let mut byte = [0];
