Read the objects of the store one by one, so that an odd one takes nothing from the others

What callers saw: with one entry of another writer in the list of upstreams, a restart of all instances left none ready (503 or no connection at all, RECOVER), and instances that ran learned of no change any more. The entry's value was nested thousands of levels deep, held a number beyond the range of a double, half a surrogate pair, or bytes that are no text.

Cause: Store::list and Store::watch decoded a whole page, or all events of a watch, at once into serde_json values. serde_json rejects such a value, and with it the whole reply; the list was repeated every 300 ms and failed each time. The parser of entries, which leaves out what names no upstream, was never reached.

RawValue of serde_json was weighed and checks what it skips: bytes that are no text, NaN or a bad escape would still fail the page. An object whose content cannot be read stays known by name with a null content, so that an upstream whose own entry turns unreadable is removed; the configuration, records of instances, quarantines and evacuations are read through the same parser. Each such object is logged once.

Evidence: the stand-in store hands values out as they were written.

--- a/crates/briarcove/src/edge/peers/feed.rs
+++ b/crates/briarcove/src/edge/peers/feed.rs
@@ -9,7 +9,7 @@
 
 use bytes::Bytes;
 use compio::time::sleep;
-use platform::{Era, Position, store::Object};
+use platform::{Era, Position, objects::Object};
 use wire::handover::{Follow, Payload, Update, UpdatedObject, Watermark};
 
 use super::channel::Channel;
--- a/crates/briarcove/src/edge/sync.rs
+++ b/crates/briarcove/src/edge/sync.rs
@@ -12,6 +12,7 @@
 mod following;
 mod quarantines;
 mod records;
+mod unreadable;
 mod watch;
 
 use std::{
@@ -31,7 +32,8 @@
 use futures_util::future::select;
 use platform::{
     Era, LatestEra, Position, Store, config, entry,
-    store::{Error, Freshness, Object},
+    objects::Object,
+    store::{Error, Freshness},
 };
 use slog::{info, warn};
 use tier::{Event, Instance, watchers::FOLLOWING_THRESHOLD};
@@ -111,6 +113,8 @@
     removals: Cell<u64>,
     /// Version of the configuration whose invalid parts were logged last.
     reported_version: Cell<u64>,
+    /// Objects that cannot be read and were logged.
+    reported: unreadable::Reported,
 }
 
 /// The kinds of objects that are kept in sync.
@@ -172,6 +176,7 @@
         lost_quarantines: RefCell::default(),
         removals: Cell::new(0),
         reported_version: Cell::new(0),
+        reported: unreadable::Reported::default(),
     });
     spawn(watch::list_and_watch(Rc::clone(&sync), WatchedKind::Config)).detach();
     spawn(watch::list_and_watch(
--- a/crates/briarcove/src/edge/sync/evacuations.rs
+++ b/crates/briarcove/src/edge/sync/evacuations.rs
@@ -11,10 +11,7 @@
     runtime::spawn,
     time::{sleep, timeout},
 };
-use platform::{
-    Position,
-    store::{Freshness, Object},
-};
+use platform::{Position, objects::Object, store::Freshness};
 use slog::{info, warn};
 use tier::Event;
 
--- a/crates/briarcove/src/edge/sync/following.rs
+++ b/crates/briarcove/src/edge/sync/following.rs
@@ -4,7 +4,7 @@
 
 use compio::time::{sleep, timeout};
 use futures_util::StreamExt;
-use platform::{Era, Position, store::Object};
+use platform::{Era, Position, objects::Object};
 use serde_json::Value;
 use slog::{info, warn};
 use tier::Instance;
--- a/crates/briarcove/src/edge/sync/quarantines.rs
+++ b/crates/briarcove/src/edge/sync/quarantines.rs
@@ -7,7 +7,8 @@
 
 use platform::{
     Store,
-    store::{Error, Freshness, Object},
+    objects::Object,
+    store::{Error, Freshness},
 };
 use serde_json::json;
 use slog::{info, warn};
--- a/crates/briarcove/src/edge/sync/records.rs
+++ b/crates/briarcove/src/edge/sync/records.rs
@@ -9,7 +9,8 @@
 use compio::{net::TcpStream, time::timeout};
 use platform::{
     Position, Store,
-    store::{Error, Freshness, Object, Objects},
+    objects::{Object, Objects},
+    store::{Error, Freshness},
 };
 use serde_json::{Value, json};
 use slog::{info, warn};
@@ -44,6 +45,7 @@
             return None;
         }
     };
+    sync.report_unreadable(INSTANCES_KIND, &listed.unreadable);
     sync.note_era();
     sync.note_records_position(&listed);
     let records = listed.objects;
--- a/crates/briarcove/src/edge/sync/watch.rs
+++ b/crates/briarcove/src/edge/sync/watch.rs
@@ -117,6 +117,7 @@
         match listed {
             Ok(listed) => {
                 sync.shell.metrics.count_store_call("list", "ok");
+                sync.report_unreadable(kind.store_kind(), &listed.unreadable);
                 sync.note_era();
                 let known = &sync.known[kind as usize];
                 // While the list was under way, the followed instance may have sent newer changes,
@@ -182,6 +183,7 @@
             match changes {
                 Ok(changes) => {
                     self.shell.metrics.count_store_call("watch", "ok");
+                    self.report_unreadable(kind.store_kind(), &changes.unreadable);
                     let position = changes.position.max(after);
                     self.known[kind as usize].set(position);
                     self.shell
--- /dev/null
+++ b/crates/briarcove/tests/odd_entries.rs
@@ -0,0 +1,167 @@
+//! Objects in the store that another writer left, and that cannot be read or name nothing.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use nix::sys::signal::Signal;
+use rig::edge::Site;
+use serde_json::json;
+
+use crate::edge::{PROGRAM, start_site};
+
+/// Levels of nesting of an odd value, more than a recursive parser bears.
+const LEVELS: usize = 20_000;
+
+/// A listener at which an odd entry claims an upstream, and the connections that it gets.
+struct Decoy {
+    address: SocketAddr,
+    connections: Arc<AtomicUsize>,
+}
+
+impl Decoy {
+    fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let connections = Arc::new(AtomicUsize::new(0));
+        let count = Arc::clone(&connections);
+        thread::spawn(move || {
+            for _ in listener.incoming() {
+                count.fetch_add(1, Ordering::Relaxed);
+            }
+        });
+        Self {
+            address,
+            connections,
+        }
+    }
+
+    /// Returns an entry with one field replaced by text that need not be JSON.
+    fn entry_with(&self, field: &str, text: &[u8]) -> Bytes {
+        let mut entry = json!({"service": "desk", "addr": self.address.to_string(), "zone": "here",
+            "version": "v1", "slots": 2, "state": "ready", "coldLeftMs": 0, "seq": 1,
+            "born": 1_700_000_000_000_u64});
+        entry[field] = json!("<odd>");
+        let entry = entry.to_string();
+        let (before, after) = entry.split_once("\"<odd>\"").unwrap();
+        [before.as_bytes(), text, after.as_bytes()].concat().into()
+    }
+
+    /// Returns entries that name no upstream, each with a word on what is odd.
+    fn odd_entries(&self) -> Vec<(&'static str, Bytes)> {
+        let lists = [vec![b'['; LEVELS], vec![b']'; LEVELS]].concat();
+        let objects = [r#"{"a":"#.repeat(LEVELS), "0".into(), "}".repeat(LEVELS)].concat();
+        let digits = "9".repeat(400);
+        let host = self.address.ip();
+        vec![
+            ("nested lists", self.entry_with("version", &lists)),
+            (
+                "nested objects",
+                self.entry_with("note", objects.as_bytes()),
+            ),
+            ("lists alone", lists.into()),
+            ("too large an exponent", self.entry_with("slots", b"1e999")),
+            ("too many digits", self.entry_with("seq", digits.as_bytes())),
+            (
+                "beyond 64 bits",
+                self.entry_with("seq", b"18446744073709551616"),
+            ),
+            ("a negative number", self.entry_with("born", b"-1")),
+            ("text for a number", self.entry_with("slots", b"\"2\"")),
+            (
+                "half a character",
+                self.entry_with("version", b"\"\\ud800\""),
+            ),
+            (
+                "bytes that are no text",
+                self.entry_with("version", b"\"\xff\xfe\""),
+            ),
+            ("no number", self.entry_with("coldLeftMs", b"NaN")),
+            (
+                "a port out of range",
+                self.entry_with("addr", format!("\"{host}:{}\"", 1 << 16).as_bytes()),
+            ),
+            (
+                "port zero",
+                self.entry_with("addr", format!("\"{host}:0\"").as_bytes()),
+            ),
+        ]
+    }
+}
+
+fn restart(site: &mut Site) -> std::io::Result<()> {
+    site.signal(Signal::SIGKILL).unwrap();
+    site.wait_for_signal().unwrap();
+    site.start(PROGRAM.as_ref())
+}
+
+/// Returns how many of some requests are served.
+fn served(site: &Site, mark: &str) -> usize {
+    let status = |n| site.ask("GET", "/status/1", &format!("{mark}-{n}"), 1_500);
+    let served = (0..12).filter(|n| status(*n).is_ok_and(|answer| answer.status() == 200));
+    served.count()
+}
+
+/// Almost no request was served after a restart of all instances (RECOVER).
+#[test]
+fn an_instance_starts_while_an_entry_cannot_be_read() {
+    let (mut site, _upstreams) = start_site("odd_at_start");
+    let decoy = Decoy::start();
+    let mut failed = Vec::new();
+    for (what, entry) in decoy.odd_entries() {
+        site.store.put_bytes("servers", "another-writer", entry);
+        let started = restart(&mut site);
+        if started.is_err() || served(&site, what.split(' ').next().unwrap()) < 12 {
+            failed.push(what);
+        }
+    }
+    assert!(failed.is_empty(), "does not serve with {failed:?}");
+    assert_eq!(decoy.connections.load(Ordering::Relaxed), 0);
+}
+
+/// Running instances learned of no change any more.
+#[test]
+fn an_entry_that_cannot_be_read_hides_no_change() {
+    let (site, upstreams) = start_site("odd_in_watch");
+    let decoy = Decoy::start();
+    let mut failed = Vec::new();
+    let mut desks = [&upstreams[6], &upstreams[7]];
+    for (at, (what, entry)) in decoy.odd_entries().into_iter().enumerate() {
+        // One upstream leaves, and the next incarnation of the other one comes.
+        let [leaving, coming] = desks;
+        site.store.put_bytes("servers", "another-writer", entry);
+        site.store.remove("servers", &leaving.name());
+        coming.restart(None);
+        site.register(coming, "ready");
+        thread::sleep(Duration::from_millis(1_500));
+        let before = coming.arrivals().len();
+        let served = served(&site, &format!("w{at}"));
+        if [served, coming.arrivals().len() - before] != [12, 12] {
+            failed.push(what);
+        }
+        desks.reverse();
+    }
+    assert!(failed.is_empty(), "a change is missed with {failed:?}");
+    assert_eq!(decoy.connections.load(Ordering::Relaxed), 0);
+}
+
+/// An upstream is used no longer once its own entry cannot be read.
+#[test]
+fn an_entry_that_turns_unreadable_names_no_upstream() {
+    let (site, upstreams) = start_site("turned_odd");
+    let [first, second] = [&upstreams[6], &upstreams[7]];
+    let text = first.entry("ready").to_string();
+    let odd = text.replace("\"v1\"", "\"\\ud800\"");
+    assert_ne!(text, odd);
+    site.store.put_bytes("servers", "desk-1", odd.into());
+    thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(served(&site, "t"), 12);
+    assert_eq!([first, second].map(|it| it.arrivals().len()), [0, 12]);
+}
--- a/crates/rig/src/edge/store.rs
+++ b/crates/rig/src/edge/store.rs
@@ -9,10 +9,12 @@
     time::{Duration, Instant},
 };
 
+use bytes::Bytes;
 use compio::{net::TcpListener, time::sleep};
 use http::{Method, Request, Response, StatusCode};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 
 use crate::{
@@ -26,9 +28,12 @@
 /// Connections that the store accepts at once.
 const MAX_CONNECTIONS: usize = 256;
 
+/// Value of an object as it was written, which need not be JSON.
+type Spec = Bytes;
+
 #[derive(Clone, Debug)]
 struct Object {
-    spec: Value,
+    spec: Spec,
     revision: u64,
 }
 
@@ -60,9 +65,9 @@
     /// The latest states, each with its time and revision.
     copies: VecDeque<(Instant, u64, Objects)>,
     /// Objects of upstreams and operators as they were last written, which write them again.
-    external: BTreeMap<(String, String), Option<Value>>,
+    external: BTreeMap<(String, String), Option<Spec>>,
     /// Changes in order, as revision, kind, name and new value; the value of a removal is `None`.
-    history: Vec<(u64, String, String, Option<Value>)>,
+    history: Vec<(u64, String, String, Option<Spec>)>,
     /// First revision whose changes are in the history.
     history_start: u64,
     /// Method, path and query of the calls so far.
@@ -70,6 +75,8 @@
     availability: Availability,
     /// Whether the next write is left out of the history, so that watches miss it.
     withholds_next: bool,
+    /// Maximum number of objects in a page of a list; `None` for any.
+    page_size: Option<usize>,
 }
 
 /// A handle to the store; clones share the same store.
@@ -113,12 +120,22 @@
     /// Writes an object unconditionally, as an upstream or operator does. A write of the same value
     /// creates no new revision.
     pub fn put(&self, kind: &str, name: &str, spec: Value) {
+        self.put_bytes(kind, name, spec.to_string().into());
+    }
+
+    /// Does the same with a value that need not be JSON, which is handed out as it is.
+    pub fn put_bytes(&self, kind: &str, name: &str, spec: Bytes) {
         let key = (kind.to_owned(), name.to_owned());
         self.state().external.insert(key, Some(spec.clone()));
         self.write(kind, name, spec);
     }
 
-    fn write(&self, kind: &str, name: &str, spec: Value) {
+    /// Limits the objects of a page of a list.
+    pub fn set_page_size(&self, objects: usize) {
+        self.state().page_size = Some(objects);
+    }
+
+    fn write(&self, kind: &str, name: &str, spec: Spec) {
         let mut state = self.state();
         let key = (kind.to_owned(), name.to_owned());
         if state
@@ -224,14 +241,22 @@
 
     fn list(&self, kind: &str, after: &str) -> Reply {
         let state = self.state();
-        let items = state
+        let page_size = state.page_size.unwrap_or(usize::MAX);
+        let mut listed = state
             .objects
             .iter()
-            .filter(|((object_kind, name), _)| object_kind == kind && name.as_str() > after)
-            .map(|((_, name), object)| object_json(name, Some(&object.spec), object.revision));
-        let items: Vec<Value> = items.collect();
-        let list = json!({"items": items, "hasMore": false, "asOf": state.revision});
-        reply::json(StatusCode::OK, &list)
+            .filter(|((object_kind, name), _)| object_kind == kind && name.as_str() > after);
+        let items = listed.by_ref().take(page_size);
+        let items =
+            items.map(|((_, name), object)| object_json(name, Some(&object.spec), object.revision));
+        let items: Vec<Vec<u8>> = items.collect();
+        let rest = format!(
+            r#"],"hasMore":{},"asOf":{}}}"#,
+            listed.next().is_some(),
+            state.revision
+        );
+        let list = [br#"{"items":["#, &*items.join(&b','), rest.as_bytes()].concat();
+        reply::json_text(StatusCode::OK, list)
     }
 
     /// Returns the reply to a watch, or `None` while it has to wait.
@@ -250,16 +275,18 @@
             .history
             .iter()
             .filter(|(at, changed_kind, ..)| *at > after && changed_kind == kind);
-        let events: Vec<Value> = changes
-            .map(|(at, _, name, spec)| {
-                json!({"deleted": spec.is_none(), "object": object_json(name, spec.as_ref(), *at)})
-            })
-            .collect();
+        let events = changes.map(|(at, _, name, spec)| {
+            let head = format!(r#"{{"deleted":{},"object":"#, spec.is_none());
+            let object = object_json(name, spec.as_ref(), *at);
+            [head.as_bytes(), &object, b"}"].concat()
+        });
+        let events: Vec<Vec<u8>> = events.collect();
         if events.is_empty() {
             return None;
         }
-        let changes = json!({"events": events, "asOf": state.revision});
-        Some(reply::json(StatusCode::OK, &changes))
+        let rest = format!(r#"],"asOf":{}}}"#, state.revision);
+        let changes = [br#"{"events":["#, &*events.join(&b','), rest.as_bytes()].concat();
+        Some(reply::json_text(StatusCode::OK, changes))
     }
 }
 
@@ -273,12 +300,18 @@
     }
 }
 
-fn object_json(name: &str, spec: Option<&Value>, revision: u64) -> Value {
-    json!({
-        "meta": {"name": name, "revision": revision, "created": 1, "finalizers": [],
-            "deleting": false},
-        "spec": spec, "status": null,
-    })
+/// Returns an object as JSON, if its value is.
+fn object_json(name: &str, spec: Option<&Spec>, revision: u64) -> Vec<u8> {
+    let meta = json!({"name": name, "revision": revision, "created": 1, "finalizers": [],
+        "deleting": false});
+    let head = format!(r#"{{"meta":{meta},"spec":"#);
+    let spec = spec.map_or(&b"null"[..], |spec| spec);
+    [head.as_bytes(), spec, br#","status":null}"#].concat()
+}
+
+/// Decodes a name in a path or query.
+fn decode_name(text: &str) -> String {
+    percent_decode_str(text).decode_utf8_lossy().into_owned()
 }
 
 struct StoreHandler {
@@ -350,12 +383,16 @@
             return self.create(kind, body).await;
         }
         if let Some((kind, name)) = kind.split_once('/') {
-            return self.replace_or_remove(&parts, kind, name, body).await;
+            let name = decode_name(name);
+            return self.replace_or_remove(&parts, kind, &name, body).await;
         }
         let field = |name: &str| {
             let items = query.split('&').filter_map(|item| item.split_once('='));
             let mut found = items.filter(|(key, _)| *key == name);
-            found.next().map(|(_, value)| value.to_owned())
+            // As in forms, a plus sign stands for a blank.
+            found
+                .next()
+                .map(|(_, value)| decode_name(&value.replace('+', " ")))
         };
         let number = |name: &str| field(name).and_then(|text| text.parse::<u64>().ok());
         match number("watch") {
@@ -406,13 +443,15 @@
             (None, expected.and_then(|text| text.parse().ok()))
         };
         if expected.is_some_and(|expected| expected != stored.revision) {
-            return Ok(reply::json(StatusCode::CONFLICT, &current));
+            return Ok(reply::json_text(StatusCode::CONFLICT, current));
         }
         match object {
-            Some(object) => self.store.write(kind, name, object["spec"].clone()),
+            Some(object) => self
+                .store
+                .write(kind, name, object["spec"].to_string().into()),
             None => self.store.delete(kind, name),
         }
-        Ok(reply::json(StatusCode::OK, &current))
+        Ok(reply::json_text(StatusCode::OK, current))
     }
 
     async fn create(&self, kind: &str, body: Incoming) -> Result<Reply, Abort> {
@@ -425,7 +464,8 @@
         if self.store.state().objects.contains_key(&key) {
             return Ok(reply::empty(StatusCode::CONFLICT));
         }
-        self.store.write(kind, name, object["spec"].clone());
+        self.store
+            .write(kind, name, object["spec"].to_string().into());
         Ok(reply::json(StatusCode::OK, &object))
     }
 }
--- a/crates/rig/src/reply.rs
+++ b/crates/rig/src/reply.rs
@@ -32,7 +32,12 @@
     let Ok(body) = serde_json::to_vec(value) else {
         return empty(StatusCode::INTERNAL_SERVER_ERROR);
     };
-    let mut reply = with_body(status, body.into());
+    json_text(status, body)
+}
+
+/// Builds a reply with a body that is JSON text, or passes for it.
+pub fn json_text(status: StatusCode, text: Vec<u8>) -> Reply {
+    let mut reply = with_body(status, text.into());
     let kind = header::HeaderValue::from_static("application/json");
     reply.headers_mut().insert(header::CONTENT_TYPE, kind);
     reply
