--- a/crates/briarcove/tests/odd_entries.rs
+++ b/crates/briarcove/tests/odd_entries.rs
@@ -1,6 +1,7 @@
 //! Objects in the store that another writer left, and that cannot be read or name nothing.
 
 use std::{
+    io::{Read, Write},
     net::{SocketAddr, TcpListener},
     sync::{
         Arc,
@@ -12,6 +13,8 @@
 
 use bytes::Bytes;
 use nix::sys::signal::Signal;
+use pipe::ReadBuf;
+use platform::{LatestEra, Store, objects::Object, store::Freshness};
 use rig::edge::Site;
 use serde_json::json;
 
@@ -20,6 +23,17 @@
 /// Levels of nesting of an odd value, more than a recursive parser bears.
 const LEVELS: usize = 20_000;
 
+/// Names that have a meaning of their own in the path or query of a URL.
+const ODD_NAMES: [&str; 7] = [
+    "desk-1&after=",
+    "desk-1+x",
+    "desk-1#x",
+    "d%7E",
+    "desk-1 x",
+    "desk-1?watch=1",
+    "desk-1/status",
+];
+
 /// A listener at which an odd entry claims an upstream, and the connections that it gets.
 struct Decoy {
     address: SocketAddr,
@@ -165,3 +179,75 @@
     assert_eq!(served(&site, "t"), 12);
     assert_eq!([first, second].map(|it| it.arrivals().len()), [0, 12]);
 }
+
+/// Names that are not escaped ended a list, or made it begin again without end.
+#[test]
+fn a_list_of_several_pages_goes_on_after_any_name() {
+    let (mut site, _upstreams) = start_site("odd_names");
+    site.store.set_page_size(1);
+    let decoy = Decoy::start();
+    let mut failed = Vec::new();
+    for name in ODD_NAMES {
+        let entry = decoy.entry_with("version", b"\"v1\"");
+        site.store.put_bytes("servers", name, entry);
+        let started = restart(&mut site);
+        if started.is_err() || served(&site, "n") < 12 {
+            failed.push(name);
+        }
+        site.store.remove("servers", name);
+    }
+    assert!(failed.is_empty(), "does not serve with {failed:?}");
+    assert_eq!(decoy.connections.load(Ordering::Relaxed), 0);
+}
+
+/// A name that is not escaped made a removal hit another object.
+#[test]
+fn calls_for_one_object_reach_it_whatever_its_name() {
+    let store = rig::edge::Store::default();
+    let server = store.serve().unwrap();
+    store.set_page_size(1);
+    store.put("servers", "d", json!(0));
+    store.put("servers", "desk-1", json!(1));
+    compio::runtime::Runtime::new().unwrap().block_on(async {
+        let address = server.addresses()[0];
+        let mut client = Store::new(address, ReadBuf::default(), LatestEra::default());
+        for name in ODD_NAMES {
+            client.create("servers", name, json!(2)).await.unwrap();
+            let listed = client.list("servers", Freshness::Latest).await.unwrap();
+            let find = |it: &&Object| &*it.name == name;
+            let revision = listed.objects.iter().find(find).unwrap().revision;
+            let replaced = client.replace("servers", name, revision, json!(3)).await;
+            replaced.unwrap();
+            let listed = client.list("servers", Freshness::Latest).await.unwrap();
+            assert_eq!(listed.objects.len(), 3, "{name}");
+            let found = listed.objects.iter().find(find).unwrap();
+            assert_eq!(found.spec, json!(3), "{name}");
+            let removed = client.remove("servers", name, found.revision).await;
+            removed.unwrap();
+            assert_eq!(store.names("servers"), ["d", "desk-1"], "{name}");
+        }
+    });
+}
+
+/// A store that repeats a page kept an instance listing, and its objects, without end.
+#[test]
+fn a_list_that_does_not_go_on_ends() {
+    let page = r#"{"items":[{"meta":{"name":"a-b"}}],"hasMore":true,"asOf":1}"#;
+    let length = page.len();
+    let reply = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{page}");
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        while stream.read(&mut [0; 4_096]).is_ok_and(|read| read > 0) {
+            stream.write_all(reply.as_bytes()).unwrap();
+        }
+    });
+    let listed = compio::runtime::Runtime::new().unwrap().block_on(async {
+        let mut client = Store::new(address, ReadBuf::default(), LatestEra::default());
+        let listed = client.list("servers", Freshness::Latest);
+        compio::time::timeout(Duration::from_secs(2), listed).await
+    });
+    let error = listed.expect("the list ends").unwrap_err();
+    assert!(error.to_string().contains("a-b"), "{error}");
+}
