A record of an instance with an impossible CPU share counts for none

What callers would see: the limits, budgets and hand-overs of an instance are divided by the CPU shares of all records. One record with a share of 1e300 leaves every instance a share of nothing and one connection to each upstream, and draws all hand-overs; a negative one takes from the sum.

Cause: records.rs took any number for a share.

Fix: a share has to be from 0 to 1,024 cores. A record without one counts for no instance, as one with a missing field does.

--- a/crates/briarcove/src/edge/sync/records.rs
+++ b/crates/briarcove/src/edge/sync/records.rs
@@ -21,6 +21,10 @@
 /// Kind of the instances' records.
 const INSTANCES_KIND: &str = "briarcove-instances";
 
+/// Largest CPU share that a record may name, in cores; no machine has more. The shares of limits and
+/// budgets are divided by the sum of all.
+const MAX_CPU_SHARE: f64 = 1_024.0;
+
 /// Maximum number of instances that one check tries to connect to.
 const MAX_TRIED_RECORDS: usize = 4;
 
@@ -229,7 +233,11 @@
         name: record.name.parse().ok()?,
         address: text("address")?.parse().ok()?,
         data_centre: text("dataCentre")?.parse().ok()?,
-        cpu_share: record.spec.get("power").and_then(Value::as_f64)?,
+        cpu_share: record
+            .spec
+            .get("power")
+            .and_then(Value::as_f64)
+            .filter(|share| (0.0..=MAX_CPU_SHARE).contains(share))?,
         // Builds that name no level speak the lowest.
         protocol: ProtocolLevel(
             record
