Test: a follower drops an upstream whose entry turns unreadable

Handled since (such an object goes to followers with a null content); the test goes through two instances, of which one does not watch the store.

--- a/crates/briarcove/tests/odd_entries.rs
+++ b/crates/briarcove/tests/odd_entries.rs
@@ -18,7 +18,10 @@
 use rig::edge::{Behaviour, Site, Upstream, route_one};
 use serde_json::{Value, json};
 
-use crate::edge::{PROGRAM, start_site};
+use crate::{
+    edge::{PROGRAM, folder, start_site},
+    peers::{make_fleet_look_large, wait_until_following},
+};
 
 /// Levels of nesting of an odd value, more than a recursive parser bears.
 const LEVELS: usize = 20_000;
@@ -179,6 +182,36 @@
     assert_eq!([first, second].map(|it| it.arrivals().len()), [0, 12]);
 }
 
+/// An instance that does not watch the store learns of it from another one.
+#[test]
+fn a_follower_drops_an_upstream_whose_entry_turns_unreadable() {
+    let mut site = Site::new(&folder("odd_followed")).unwrap();
+    make_fleet_look_large(&site);
+    let fast = Behaviour::Replies(Duration::from_millis(2));
+    let desks = ["desk-1", "desk-2"].map(|name| Upstream::start(name, "desk", fast).unwrap());
+    for desk in &desks {
+        site.register(desk, "ready");
+    }
+    site.configure(1, &[route_one("/status/", "desk", true)], &["desk"]);
+    site.start(PROGRAM.as_ref()).unwrap();
+    let mut follower = site
+        .sharing_store(&folder("odd_follower"), "edge-here-2", 0.1)
+        .unwrap();
+    follower.start(PROGRAM.as_ref()).unwrap();
+    wait_until_following(&follower);
+    let odd = Decoy::start().odd_entries();
+    for (at, (what, entry)) in odd.into_iter().enumerate().take(3) {
+        site.store.put_bytes("servers", &desks[0].name(), entry);
+        thread::sleep(Duration::from_millis(2_000));
+        let before = desks[0].arrivals().len();
+        assert_eq!(served(&follower, &format!("f{at}")), 12, "{what}");
+        assert_eq!(desks[0].arrivals().len(), before, "{what}");
+        desks[0].restart(None);
+        site.register(&desks[0], "ready");
+        thread::sleep(Duration::from_millis(2_000));
+    }
+}
+
 /// Names that are not escaped ended a list, or made it begin again without end.
 #[test]
 fn a_list_of_several_pages_goes_on_after_any_name() {
--- a/crates/briarcove/tests/peers.rs
+++ b/crates/briarcove/tests/peers.rs
@@ -137,12 +137,8 @@
     false
 }
 
-/// In a large fleet only a few instances watch the store, and the others receive updates from them.
-/// A follower must switch to its own watch when the instance that it follows is paused.
-#[test]
-fn an_instance_of_a_large_fleet_follows_another_until_that_is_paused() {
-    let mut site = Site::new(&folder("followed")).unwrap();
-    // Records of instances that do not exist make the fleet look large.
+/// Writes records of instances that do not exist.
+pub(crate) fn make_fleet_look_large(site: &Site) {
     for other in 0..45 {
         let spec = serde_json::json!({"dataCentre": "there", "power": 0.01,
             "address": format!("127.0.0.1:{}", 100 + other)});
@@ -151,6 +147,24 @@
     }
     let spec = serde_json::json!({"dataCentre": "here", "power": 0.4, "address": "127.0.0.1:99"});
     site.store.put("briarcove-instances", "gone-here", spec);
+}
+
+/// Waits until an instance receives updates from another one.
+#[track_caller]
+pub(crate) fn wait_until_following(follower: &Site) {
+    let end = Instant::now() + Duration::from_secs(12);
+    while !follower.log().unwrap().contains("following an instance") {
+        assert!(Instant::now() < end, "the instance follows no other one");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// In a large fleet only a few instances watch the store, and the others receive updates from them.
+/// A follower must switch to its own watch when the instance that it follows is paused.
+#[test]
+fn an_instance_of_a_large_fleet_follows_another_until_that_is_paused() {
+    let mut site = Site::new(&folder("followed")).unwrap();
+    make_fleet_look_large(&site);
     let fast = Behaviour::Replies(Duration::from_millis(2));
     let desk = Upstream::start("desk-1", "desk", fast).unwrap();
     site.register(&desk, "ready");
@@ -160,11 +174,7 @@
         .sharing_store(&folder("follower"), "edge-here-2", 0.1)
         .unwrap();
     follower.start(PROGRAM.as_ref()).unwrap();
-    let end = Instant::now() + Duration::from_secs(12);
-    while !follower.log().unwrap().contains("following an instance") {
-        assert!(Instant::now() < end, "the instance follows no other one");
-        thread::sleep(Duration::from_millis(50));
-    }
+    wait_until_following(&follower);
     let before = watch_calls(&follower);
     site.configure(2, &[route_one("/second/", "desk", true)], &["desk"]);
     assert!(serves_route(
@@ -287,14 +297,7 @@
 #[test]
 fn a_follower_ignores_a_list_that_is_older_than_what_it_knows() {
     let mut site = Site::new(&folder("late_list")).unwrap();
-    for other in 0..45 {
-        let spec = serde_json::json!({"dataCentre": "there", "power": 0.01,
-            "address": format!("127.0.0.1:{}", 100 + other)});
-        site.store
-            .put("briarcove-instances", &format!("gone-{other}"), spec);
-    }
-    let spec = serde_json::json!({"dataCentre": "here", "power": 0.4, "address": "127.0.0.1:99"});
-    site.store.put("briarcove-instances", "gone-here", spec);
+    make_fleet_look_large(&site);
     let fast = Behaviour::Replies(Duration::from_millis(2));
     let leaving = Upstream::start("desk-1", "desk", fast).unwrap();
     let shedding = Upstream::start("desk-2", "desk", Behaviour::Sheds).unwrap();
@@ -308,11 +311,7 @@
     let way = start_slow_way(site.store_address());
     follower.set_store_address(way.address);
     follower.start(PROGRAM.as_ref()).unwrap();
-    let end = Instant::now() + Duration::from_secs(12);
-    while !follower.log().unwrap().contains("following an instance") {
-        assert!(Instant::now() < end, "the instance follows no other one");
-        thread::sleep(Duration::from_millis(50));
-    }
+    wait_until_following(&follower);
     thread::sleep(Duration::from_millis(1_000));
     // The follower takes the store for lost, and lists everything again on its return: after the
     // connection of its probe, it opens two more.
