Test: an answer with status 000, or with an odd name in its head, reaches no caller

Handled before: hyper rejects status 000 and others that are no three digits from 100 on, names of header and trailer fields that hold a blank, a tab or a control byte, that are empty or lack their colon, a blank before the colon, control bytes in values, and lengths that contradict each other. The caller gets 502, a search goes on without the part, and the connection is closed.

--- a/crates/briarcove/tests/edge.rs
+++ b/crates/briarcove/tests/edge.rs
@@ -12,7 +12,7 @@
 pub(crate) const PROGRAM: &str = env!("CARGO_BIN_EXE_briarcove");
 
 /// Names of shards.
-const SHARDS: [&str; 3] = ["shard-a", "shard-b", "shard-c"];
+pub(crate) const SHARDS: [&str; 3] = ["shard-a", "shard-b", "shard-c"];
 
 pub(crate) fn folder(name: &str) -> PathBuf {
     PathBuf::from(env!("CARGO_TARGET_TMPDIR"))
--- a/crates/briarcove/tests/main.rs
+++ b/crates/briarcove/tests/main.rs
@@ -13,6 +13,7 @@
 mod floods;
 mod limits;
 mod malformed;
+mod odd_answers;
 mod odd_entries;
 mod organisations;
 mod peers;
--- a/crates/briarcove/tests/malformed.rs
+++ b/crates/briarcove/tests/malformed.rs
@@ -12,7 +12,7 @@
 };
 
 use rig::edge::{Site, route_one};
-use serde_json::json;
+use serde_json::{Value, json};
 
 use crate::edge::{header, start_site};
 
@@ -21,7 +21,9 @@
 
 /// Starts an upstream that answers each request with what `respond` returns for its id, and then
 /// sends the second text after a delay.
-fn serve(respond: fn(&str) -> (String, String)) -> (SocketAddr, Arc<AtomicUsize>) {
+pub(crate) fn serve<T: AsRef<[u8]>>(
+    respond: impl Fn(&str) -> (T, T) + Clone + Send + 'static,
+) -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let address = listener.local_addr().unwrap();
     let served = Arc::new(AtomicUsize::new(0));
@@ -29,6 +31,7 @@
     thread::spawn(move || {
         for stream in listener.incoming() {
             let (mut stream, count) = (stream.unwrap(), Arc::clone(&count));
+            let respond = respond.clone();
             thread::spawn(move || {
                 let mut request = [0; 4_096];
                 while let Ok(read) = stream.read(&mut request) {
@@ -38,11 +41,11 @@
                     let Some(id) = id else { return };
                     count.fetch_add(1, Ordering::Relaxed);
                     let (first, late) = respond(id);
-                    if stream.write_all(first.as_bytes()).is_err() {
+                    if stream.write_all(first.as_ref()).is_err() {
                         return;
                     }
                     thread::sleep(COPY_DELAY);
-                    if stream.write_all(late.as_bytes()).is_err() {
+                    if stream.write_all(late.as_ref()).is_err() {
                         return;
                     }
                 }
@@ -52,12 +55,16 @@
     (address, served)
 }
 
+/// Returns the entry of an upstream.
+pub(crate) fn entry(service: &str, address: SocketAddr) -> Value {
+    json!({"service": service, "addr": address.to_string(), "zone": "here",
+        "version": "v1", "slots": 2, "state": "ready", "coldLeftMs": 0, "seq": 1,
+        "born": 1_700_000_000_000_u64})
+}
+
 /// Registers an upstream as the only one of a service with a route of its own.
 fn register(site: &Site, address: SocketAddr) {
-    let entry = json!({"service": "raw", "addr": address.to_string(), "zone": "here",
-        "version": "v1", "slots": 2, "state": "ready", "coldLeftMs": 0, "seq": 1,
-        "born": 1_700_000_000_000_u64});
-    site.store.put("servers", "raw-1", entry);
+    site.store.put("servers", "raw-1", entry("raw", address));
     let routes = [
         route_one("/raw/", "raw", true),
         route_one("/status/", "desk", true),
--- /dev/null
+++ b/crates/briarcove/tests/odd_answers.rs
@@ -0,0 +1,162 @@
+//! Upstreams that send what is no answer in the protocol.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+use rig::edge::{Site, Upstream, route_gather, route_one};
+
+use crate::{
+    edge::{SHARDS, header, start_site},
+    malformed::{entry, serve},
+};
+
+/// Status lines that are none of a final answer.
+const STATUS_LINES: [&str; 11] = [
+    "HTTP/1.1 000 ",
+    "HTTP/1.1 000 OK",
+    "HTTP/1.1 00 OK",
+    "HTTP/1.1 099 OK",
+    "HTTP/1.1 1000 OK",
+    "HTTP/1.1 2000 OK",
+    "HTTP/1.1 -200 OK",
+    "HTTP/1.1 2x0 OK",
+    "HTTP/1.1  OK",
+    "HTTP/2.0 200 OK",
+    "ICY 200 OK",
+];
+
+/// Lines of a head whose names hold what a name must not.
+const NAMES: [&[u8]; 14] = [
+    b"x odd: 1",
+    b" x-odd: 1",
+    b"x-odd : 1",
+    b"x\todd: 1",
+    b"x\x01odd: 1",
+    b"x\x00odd: 1",
+    b"x\x1fodd: 1",
+    b"x\x7fodd: 1",
+    b"x\xffodd: 1",
+    b"x(odd): 1",
+    b": 1",
+    b"x-odd",
+    b"content length: 9",
+    b"content-length : 9",
+];
+
+/// Lines whose values hold control bytes.
+const VALUES: [&[u8]; 4] = [
+    b"x-odd: a\x01b",
+    b"x-odd: a\x00b",
+    b"x-odd: a\rb",
+    b"x-odd: a\x7fb",
+];
+
+fn head(id: &str, status: &str) -> String {
+    format!("{status}\r\nx-request-id: {id}\r\nx-server-stamp: sig.{id}\r\n")
+}
+
+/// Returns answers that are none, each as what stands before and after the id of the request.
+fn odd_answers(id: &str) -> Vec<Vec<u8>> {
+    let ok = head(id, "HTTP/1.1 200 OK");
+    let lines = NAMES.iter().chain(&VALUES);
+    let with_line = |line: &&[u8]| {
+        let end = b"\r\ncontent-length: 16\r\n\r\n0123456789abcdef";
+        [ok.as_bytes(), line, &end[..]].concat()
+    };
+    let with_trailer = |line: &&[u8]| {
+        let body = b"transfer-encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n0\r\n";
+        [ok.as_bytes(), &body[..], line, b"\r\n\r\n"].concat()
+    };
+    let with_status = |status: &&str| {
+        let head = head(id, status);
+        format!("{head}content-length: 16\r\n\r\n0123456789abcdef").into_bytes()
+    };
+    let mut answers: Vec<Vec<u8>> = STATUS_LINES.iter().map(with_status).collect();
+    answers.extend(lines.clone().map(with_line));
+    answers.extend(NAMES[..12].iter().map(with_trailer));
+    for framing in [
+        "transfer-encoding: chunked\r\n\r\n-1\r\n",
+        "transfer-encoding: chunked\r\n\r\nfffffffffffffffff\r\n",
+        "transfer-encoding: chunked\r\n\r\n2 2\r\nokok\r\n0\r\n\r\n",
+        "content-length: 2\r\ncontent-length: 3\r\n\r\nok",
+        "content-length: -2\r\n\r\nok",
+        "content-length: 18446744073709551616\r\n\r\nok",
+    ] {
+        answers.push([&ok, framing].concat().into_bytes());
+    }
+    answers
+}
+
+/// Starts an upstream for each odd answer, as the only one of a service and a route of its own.
+fn start_odd_upstreams(name: &str) -> (Site, Vec<Upstream>, Vec<Arc<AtomicUsize>>) {
+    let (site, upstreams) = start_site(name);
+    let mut counts = Vec::new();
+    let services: Vec<String> = (0..odd_answers("").len())
+        .map(|at| format!("odd-{at}"))
+        .collect();
+    let mut routes = vec![route_one("/status/", "desk", true)];
+    let mut names = vec![SHARDS[0], SHARDS[1], "desk"];
+    for (at, service) in services.iter().enumerate() {
+        let (address, count) = serve(move |id| (odd_answers(id).swap_remove(at), Vec::new()));
+        counts.push(count);
+        let name = format!("{service}-1");
+        site.store.put("servers", &name, entry(service, address));
+        let one = route_one(&format!("/one-{at}/"), service, true);
+        let shards = [SHARDS[0], SHARDS[1], service];
+        let some = route_gather(&format!("/some-{at}/"), &shards, 0.6, 200);
+        routes.extend([one, some]);
+        names.push(service);
+    }
+    site.configure(2, &routes, &names);
+    thread::sleep(Duration::from_millis(1_500));
+    (site, upstreams, counts)
+}
+
+/// A client got an answer with status 000, and others with odd names in their heads.
+#[test]
+fn what_is_no_answer_reaches_no_caller() {
+    let (site, _upstreams, counts) = start_odd_upstreams("odd_answers");
+    let mut failed = Vec::new();
+    for (at, shown) in odd_answers("ID").into_iter().enumerate() {
+        let asked = site.ask("GET", &format!("/one-{at}/1"), &format!("odd-{at}"), 400);
+        let answer = asked.unwrap();
+        let is_own = header(&answer, "x-server-stamp").is_empty() && answer.body().is_empty();
+        let status = answer.status().as_u16();
+        let sent = counts[at].load(Ordering::Relaxed);
+        if !is_own || status != 502 || sent != 1 {
+            failed.push((String::from_utf8_lossy(&shown).to_string(), sent, answer));
+        }
+    }
+    let count = failed.len();
+    assert!(failed.is_empty(), "{count} reach a caller: {failed:#?}");
+    assert_eq!(
+        site.ask("GET", "/status/1", "after", 1_500)
+            .unwrap()
+            .status(),
+        200
+    );
+}
+
+/// What is no answer is no part of a search either.
+#[test]
+fn what_is_no_answer_is_no_part() {
+    let (site, _upstreams, counts) = start_odd_upstreams("odd_parts");
+    let mut failed = Vec::new();
+    for (at, shown) in odd_answers("ID").into_iter().enumerate() {
+        let asked = site.ask("GET", &format!("/some-{at}/1"), &format!("part-{at}"), 400);
+        let answer = asked.unwrap();
+        let is_partial = header(&answer, "x-missing-parts") == "1" && answer.body().len() == 32;
+        let sent = counts[at].load(Ordering::Relaxed);
+        if !is_partial || sent != 1 {
+            failed.push((String::from_utf8_lossy(&shown).to_string(), sent, answer));
+        }
+    }
+    let count = failed.len();
+    assert!(failed.is_empty(), "{count} count as parts: {failed:#?}");
+}
