A status that is not that of an answer fails the attempt

What callers saw: an upstream that replied 101 Switching Protocols, or a status from 600 on, had it passed on as an answer: a 101 ends the connection's use for HTTP at the caller, and 600 to 999 are no statuses of HTTP. Found while answers of all statuses were played beside 000, which was handled.

Cause: hyper takes 101 for the end of the exchange and accepts any status of three digits from 100 on; UpstreamReply::read took what hyper accepts.

Fix: a status outside 200 to 599 counts as malformed (502, or another attempt where that is allowed), in replies of upstreams and in answers that another instance passes on.

Evidence: on the code before, what_is_no_answer_reaches_no_caller fails with 101, 600 and 999, and a_reply_without_the_status_of_an_answer_is_malformed at 100; both pass now.

--- a/crates/briarcove/src/edge/peers/outgoing.rs
+++ b/crates/briarcove/src/edge/peers/outgoing.rs
@@ -344,12 +344,10 @@
     }
     let status = u16::try_from(done.status).ok();
     let status = status.and_then(|status| StatusCode::from_u16(status).ok());
-    match (status, from_frame(done.headers)) {
-        (Some(status), Some(headers)) => {
-            HandOverOutcome::Answer(UpstreamReply::from_instance(status, headers, done.body))
-        }
-        _ => HandOverOutcome::Broken,
-    }
+    let reply = status
+        .zip(from_frame(done.headers))
+        .and_then(|(status, headers)| UpstreamReply::from_instance(status, headers, done.body));
+    reply.map_or(HandOverOutcome::Broken, HandOverOutcome::Answer)
 }
 
 /// Runs the connection to an instance until it ends.
--- a/crates/briarcove/tests/odd_answers.rs
+++ b/crates/briarcove/tests/odd_answers.rs
@@ -17,7 +17,7 @@
 };
 
 /// Status lines that are none of a final answer.
-const STATUS_LINES: [&str; 11] = [
+const STATUS_LINES: [&str; 14] = [
     "HTTP/1.1 000 ",
     "HTTP/1.1 000 OK",
     "HTTP/1.1 00 OK",
@@ -29,6 +29,9 @@
     "HTTP/1.1  OK",
     "HTTP/2.0 200 OK",
     "ICY 200 OK",
+    "HTTP/1.1 101 Switching Protocols",
+    "HTTP/1.1 600 OK",
+    "HTTP/1.1 999 OK",
 ];
 
 /// Lines of a head whose names hold what a name must not.
