A reply whose body is coded in transfer is no reply

What callers saw: a reply with `transfer-encoding: gzip, chunked` (or gzip alone, ended by its connection) reached the caller with the coded bytes as its body and without the header, which is hop-by-hop: a body that is not the upstream's. In a search the coded bytes were merged as records.

Cause: hyper undoes the chunks and leaves other codings to its user; the header was dropped unread.

--- a/crates/briarcove/tests/odd_answers.rs
+++ b/crates/briarcove/tests/odd_answers.rs
@@ -90,6 +90,7 @@
         "content-length: 2\r\ncontent-length: 3\r\n\r\nok",
         "content-length: -2\r\n\r\nok",
         "content-length: 18446744073709551616\r\n\r\nok",
+        "transfer-encoding: gzip, chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
     ] {
         answers.push([&ok, framing].concat().into_bytes());
     }
