An instance that is about to stop starts nothing that would be cut off

What callers saw: in a planned stop, requests that came late in the grace period on kept connections were sent to an upstream and ended without its reply: with 504 if they were at an upstream when the period ended, with a closed connection if their bodies arrived after that (LOST). Among them were requests that must not be repeated.

Cause: the reducer did not know when the process stops, and took every request until Event::Stop and after it: run_until_stopped completes what the reducer has then, but a body that was still arriving reached the reducer later, was sent on as usual, and the process ended 300 ms after the stop.

Fix: Event::Drain carries the time of the stop. A request is refused at once (`stopping`, 503, Retry-After 0, Connection: close) if its objective, or twice the mean of its kind, ends later (tier::stopping). One that must not be repeated gets no second attempt then, and nothing is handed to another instance at the stop. So the promise of the refusal is kept: nothing was sent.

`serve` refuses every request from the signal on; nothing is changed there.

--- a/crates/briarcove/src/edge/shell.rs
+++ b/crates/briarcove/src/edge/shell.rs
@@ -176,8 +176,9 @@
         self.tier.borrow().settings().hop_delay
     }
 
-    pub(super) fn set_draining(self: &Rc<Self>) {
-        self.dispatch(Event::Drain);
+    /// Tells the reducer that the process stops at a time.
+    pub(super) fn set_draining(self: &Rc<Self>, stops_at: Time) {
+        self.dispatch(Event::Drain(stops_at));
     }
 
     pub(super) fn pending_requests(&self) -> usize {
--- a/crates/briarcove/src/edge/signals.rs
+++ b/crates/briarcove/src/edge/signals.rs
@@ -97,13 +97,14 @@
     info!(shell.log, "stopping; readiness checks fail from now on";
         "in_hand" => shell.pending_requests(), "connections" => shell.connections.open(),
         "grace_ms" => grace.as_millis() as u64);
-    shell.set_draining();
     let start = shell.now();
+    let stops_at = start + grace;
+    shell.set_draining(stops_at);
     loop {
         sleep(STOP_CHECK_INTERVAL).await;
-        let waited = shell.now().since(start);
+        let now = shell.now();
         let is_idle = shell.connections.open() == 0;
-        if waited >= grace || waited >= MIN_STOP_TIME && is_idle {
+        if now >= stops_at || now.since(start) >= MIN_STOP_TIME && is_idle {
             break;
         }
     }
--- a/crates/briarcove/tests/main.rs
+++ b/crates/briarcove/tests/main.rs
@@ -22,3 +22,4 @@
 mod race;
 mod soak;
 mod status;
+mod stop;
--- a/crates/tier/src/effect.rs
+++ b/crates/tier/src/effect.rs
@@ -215,6 +215,8 @@
     OverLimit,
     /// The caller's key is unknown, and a newer configuration may hold it.
     UnknownKey,
+    /// This instance stops before the request would end; others serve it.
+    Stopping,
 }
 
 impl Refusal {
@@ -230,6 +232,7 @@
             Self::NoTime => "no_time",
             Self::OverLimit => "over_limit",
             Self::UnknownKey => "unknown_key",
+            Self::Stopping => "stopping",
         }
     }
 }
--- a/crates/tier/src/event.rs
+++ b/crates/tier/src/event.rs
@@ -106,8 +106,9 @@
     ReplyChecked(UpstreamKey, ProbeResult),
     /// The settings have changed.
     Settings(Settings),
-    /// The process is shutting down; pending requests are still served.
-    Drain,
+    /// The process is shutting down and stops at a time; until then, requests are served that are
+    /// likely to end before it.
+    Drain(Time),
     /// The time for pending requests is over; all of them are completed now.
     Stop,
     /// A timer is due, see [`Tier::next_wake`](crate::Tier::next_wake).
--- a/crates/tier/src/lib.rs
+++ b/crates/tier/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod settings;
 pub mod shedding;
 pub mod split;
+pub mod stopping;
 pub mod tier;
 mod timers;
 pub mod upstream;
--- a/crates/tier/src/tier.rs
+++ b/crates/tier/src/tier.rs
@@ -119,7 +119,8 @@
     /// Configurations that have been replaced, newest first.
     old_configs: VecDeque<Rc<Config>>,
     config_doubt: ConfigDoubt,
-    is_draining: bool,
+    /// Time at which the process stops, once it is shutting down.
+    stops_at: Option<Time>,
     report_usage: Usage,
 }
 
@@ -154,7 +155,7 @@
             acceptance: Acceptance::default(),
             old_configs: VecDeque::new(),
             config_doubt: ConfigDoubt::default(),
-            is_draining: false,
+            stops_at: None,
             report_usage: Usage::default(),
         }
     }
@@ -212,8 +213,8 @@
                     ..settings
                 };
             }
-            Event::Drain => {
-                self.is_draining = true;
+            Event::Drain(stops_at) => {
+                self.stops_at = Some(stops_at);
                 self.quotas.retire();
             }
             Event::Stop => self.on_stop(now, effects),
@@ -253,7 +254,7 @@
     /// Returns whether callers should use other instances: this one is draining, cut off, or
     /// reaches too few shards.
     pub fn is_out_of_service(&self) -> bool {
-        self.is_draining || self.is_out_of_reach()
+        self.stops_at.is_some() || self.is_out_of_reach()
     }
 
     /// Returns whether this instance reaches too few upstreams.
--- a/crates/tier/src/tier/attempts.rs
+++ b/crates/tier/src/tier/attempts.rs
@@ -235,6 +235,10 @@
         if self.has_lost_key(call) {
             return false;
         }
+        // Nothing has run yet, so another instance can serve the request.
+        if !route.idempotent && self.stops_before(now, route) {
+            return false;
+        }
         let digest = call.head.digest;
         // Another attempt of a request that may have crashed an upstream could crash one more.
         if self.crashes.quarantine_left(now, digest).is_some()
--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -19,6 +19,7 @@
     mechanism::Mechanism,
     placement::{self, Candidate},
     retry_after::RetrySchedule,
+    stopping,
     timers::Due,
 };
 
@@ -168,6 +169,14 @@
         (self.to_callers.get(longest) + passing_on).min(longest)
     }
 
+    /// Returns whether the process is likely to end before a request on a route that starts now.
+    pub(super) fn stops_before(&self, now: Time, route: &Route) -> bool {
+        let mean = self.routes.get(&*route.name);
+        let mean = mean.map_or(Duration::ZERO, |it| it.latency.mean(Duration::ZERO));
+        let stops_at = self.stops_at.unwrap_or(Time::NEVER);
+        !stopping::may_start(now, stops_at, route.objective, mean)
+    }
+
     /// Starts a call once its organisation's limit allows it.
     fn start(&mut self, now: Time, id: CallId, call: Call<C>, effects: &mut Vec<Effect<C>>) {
         if let Some(call) = self.take_token(now, id, call, effects) {
@@ -183,6 +192,9 @@
         mut call: Call<C>,
         effects: &mut Vec<Effect<C>>,
     ) {
+        if self.stops_before(now, call.config.route(call.route)) {
+            return self.refuse(now, id, &mut call, Refusal::Stopping, effects);
+        }
         let digest = call.head.digest;
         self.frequency.record(now, digest);
         if self.crashes.quarantine_left(now, digest).is_some() {
@@ -379,6 +391,8 @@
         let quarantine_left = self.crashes.quarantine_left(now, call.head.digest);
         let after = match quarantine_left.filter(|_| why == Refusal::Quarantined) {
             Some(quarantine_left) => quarantine_left,
+            // Another instance can serve the request at once.
+            None if why == Refusal::Stopping => Duration::ZERO,
             None => {
                 let recovery = match why {
                     Refusal::NoUpstream | Refusal::TurnedAway => self.recovery(now, call),
--- a/crates/tier/src/tier/relays.rs
+++ b/crates/tier/src/tier/relays.rs
@@ -63,6 +63,7 @@
             || !may_repeat
             || call.handovers >= MAX_RELAYS
             || now >= call.deadline
+            || self.stops_before(now, call.config.route(call.route))
         {
             return Some(call);
         }
--- a/crates/tier/tests/handover.rs
+++ b/crates/tier/tests/handover.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, rc::Rc, time::Duration};
 
-use base::{CallId, InstanceName, ServiceName};
+use base::{CallId, InstanceName, ServiceName, Time};
 use tier::{
     Answer, Config, Effect, Entry, Event, Failure, HandOverOutcome, Instance, Origin, Outcome,
     Route, Settings, Target,
@@ -155,7 +155,7 @@
 #[test]
 fn a_draining_instance_declines_handovers() {
     let mut instance = test_instance("large-1", 0.5);
-    instance.on(Event::Drain);
+    instance.on(Event::Drain(Time::NEVER));
     let effects = instance.call(1, from_instance(1, false), None);
     assert!(matches!(answers(&effects)[..], [Answer::Declined]));
 }
--- a/crates/tier/tests/main.rs
+++ b/crates/tier/tests/main.rs
@@ -19,5 +19,6 @@
 mod quota;
 mod separation;
 mod simulation;
+mod stopping;
 mod urgency;
 mod watchers;
--- a/crates/tier/tests/notices.rs
+++ b/crates/tier/tests/notices.rs
@@ -75,7 +75,7 @@
         name: name.into(),
         host: "search.example".into(),
         prefix: prefix.into(),
-        idempotent: true,
+        idempotent: name != "order",
         timeout: TIME_LEFT,
         objective: Duration::from_millis(500),
         priority,
@@ -84,9 +84,14 @@
         regions: None,
         target: Target::One(service.clone()),
     };
-    let routes = vec![route("status", "/", 2), route("urgent", "/urgent/", 1)];
+    let routes = [
+        ("status", "/", 2),
+        ("urgent", "/urgent/", 1),
+        ("order", "/order/", 2),
+    ];
+    let routes = routes.map(|(name, prefix, priority)| route(name, prefix, priority));
     let services = HashMap::from([(service.clone(), limits)]);
-    let config = Config::new(1, routes, services, Limits::default());
+    let config = Config::new(1, routes.into(), services, Limits::default());
     let settings = Settings {
         instance: "only".into(),
         data_centre: "here".into(),
