Tests: bytes without end, and odd objects and answers of `serve`

Handled before; nothing is changed for it. `serve` takes floods, status 000 and odd names in heads for malformed replies and closes the connection, and ignores odd values in each kind of object that it watches with a note.

--- a/crates/briarcove/tests/floods.rs
+++ b/crates/briarcove/tests/floods.rs
@@ -22,7 +22,9 @@
 const MEMORY_LIMIT: u64 = 112_000_000;
 
 /// What an upstream sends first, and then again and again.
-const FLOODS: [(&str, &str); 4] = [
+const FLOODS: [(&str, &str); 6] = [
+    ("", "no answer"),
+    ("HTTP/1.1 200 OK\r\nx-long: ", "a"),
     (
         "HTTP/1.1 200 OK\r\nx-server-stamp: sig.0\r\n\r\n",
         "a body without end ",
--- a/crates/briarcove/tests/odd_entries.rs
+++ b/crates/briarcove/tests/odd_entries.rs
@@ -1,8 +1,7 @@
-//! Objects in the store that another writer left, and that cannot be read or name nothing.
+//! Entries that another writer left among those of the upstreams, and that name none.
 
 use std::{
-    io::{Read, Write},
-    net::{SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener},
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -13,10 +12,8 @@
 
 use bytes::Bytes;
 use nix::sys::signal::Signal;
-use pipe::ReadBuf;
-use platform::{LatestEra, Store, store::Freshness};
 use rig::edge::{Behaviour, Site, Upstream, route_one};
-use serde_json::{Value, json};
+use serde_json::json;
 
 use crate::{
     edge::{PROGRAM, folder, start_site},
@@ -24,10 +21,10 @@
 };
 
 /// Levels of nesting of an odd value, more than a recursive parser bears.
-const LEVELS: usize = 20_000;
+pub(crate) const LEVELS: usize = 20_000;
 
 /// Names that have a meaning of their own in the path or query of a URL.
-const ODD_NAMES: [&str; 7] = [
+pub(crate) const ODD_NAMES: [&str; 7] = [
     "desk-1&after=",
     "desk-1+x",
     "desk-1#x",
@@ -112,14 +109,15 @@
     }
 }
 
-fn restart(site: &mut Site) -> std::io::Result<()> {
+/// Kills an instance and starts it again.
+pub(crate) fn restart(site: &mut Site) -> std::io::Result<()> {
     site.signal(Signal::SIGKILL).unwrap();
     site.wait_for_signal().unwrap();
     site.start(PROGRAM.as_ref())
 }
 
 /// Returns how many of some requests are served.
-fn served(site: &Site, mark: &str) -> usize {
+pub(crate) fn served(site: &Site, mark: &str) -> usize {
     let status = |n| site.ask("GET", "/status/1", &format!("{mark}-{n}"), 1_500);
     let served = (0..12).filter(|n| status(*n).is_ok_and(|answer| answer.status() == 200));
     served.count()
@@ -231,170 +229,3 @@
     assert!(failed.is_empty(), "does not serve with {failed:?}");
     assert_eq!(decoy.connections.load(Ordering::Relaxed), 0);
 }
-
-/// A name that is not escaped made a removal hit another object.
-#[test]
-fn calls_for_one_object_reach_it_whatever_its_name() {
-    let store = rig::edge::Store::default();
-    let server = store.serve().unwrap();
-    store.set_page_size(1);
-    store.put("servers", "d", json!(0));
-    store.put("servers", "desk-1", json!(1));
-    compio::runtime::Runtime::new().unwrap().block_on(async {
-        let address = server.addresses()[0];
-        let mut client = Store::new(address, ReadBuf::default(), LatestEra::default());
-        for name in ODD_NAMES {
-            client.create("servers", name, json!(2)).await.unwrap();
-            let listed = client.list("servers", Freshness::Latest).await.unwrap();
-            let found = listed.objects.iter().find(|it| &*it.name == name);
-            let revision = found.unwrap().revision;
-            let replaced = client.replace("servers", name, revision, json!(3)).await;
-            replaced.unwrap();
-            let listed = client.list("servers", Freshness::Latest).await.unwrap();
-            assert_eq!(listed.objects.len(), 3, "{name}");
-            let found = listed.objects.iter().find(|it| &*it.name == name);
-            let found = found.unwrap();
-            assert_eq!(found.spec, json!(3), "{name}");
-            let removed = client.remove("servers", name, found.revision).await;
-            removed.unwrap();
-            assert_eq!(store.names("servers"), ["d", "desk-1"], "{name}");
-        }
-    });
-}
-
-/// A store that repeats a page kept an instance listing, and its objects, without end.
-#[test]
-fn a_list_that_does_not_go_on_ends() {
-    let page = r#"{"items":[{"meta":{"name":"a-b"}}],"hasMore":true,"asOf":1}"#;
-    let length = page.len();
-    let reply = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n{page}");
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        while stream.read(&mut [0; 4_096]).is_ok_and(|read| read > 0) {
-            stream.write_all(reply.as_bytes()).unwrap();
-        }
-    });
-    let listed = compio::runtime::Runtime::new().unwrap().block_on(async {
-        let mut client = Store::new(address, ReadBuf::default(), LatestEra::default());
-        let listed = client.list("servers", Freshness::Latest);
-        compio::time::timeout(Duration::from_secs(2), listed).await
-    });
-    let error = listed.expect("the list ends").unwrap_err();
-    assert!(error.to_string().contains("a-b"), "{error}");
-}
-
-/// Returns values that no instance or operator writes.
-fn odd_values() -> [Bytes; 5] {
-    let nested = ["[".repeat(LEVELS), "]".repeat(LEVELS)].concat();
-    [
-        Bytes::from(nested),
-        "1e999".into(),
-        "\"\\ud800\"".into(),
-        Bytes::from_static(b"\"\xff\""),
-        "{}".into(),
-    ]
-}
-
-/// Returns how many instances one counts, itself included.
-fn instances(site: &Site) -> u64 {
-    let address = site.operator_address();
-    let mut stream = TcpStream::connect(address).unwrap();
-    let request = "GET /v1/status HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n";
-    stream.write_all(request.as_bytes()).unwrap();
-    let mut reply = String::new();
-    stream.read_to_string(&mut reply).unwrap();
-    let (_, body) = reply.split_once("\r\n\r\n").unwrap();
-    let status: Value = serde_json::from_str(body).unwrap();
-    status["instances"].as_u64().unwrap()
-}
-
-/// Objects of the other kinds that instances read.
-#[test]
-fn odd_objects_of_any_kind_keep_no_instance_from_serving() {
-    let (mut site, upstreams) = start_site("odd_kinds");
-    let fast = Behaviour::Replies(Duration::from_millis(2));
-    let mut remote = Upstream::start("desk-3", "desk", fast).unwrap();
-    remote.data_centre = "there";
-    site.register(&remote, "ready");
-    site.has_evacuations = true;
-    for (at, value) in odd_values().into_iter().enumerate() {
-        for kind in [
-            "config",
-            "evacuations",
-            "briarcove-quarantine",
-            "briarcove-instances",
-        ] {
-            for name in ["odd", "odd&+#% ", "+0f"] {
-                site.store
-                    .put_bytes(kind, &format!("{name}-{at}"), value.clone());
-            }
-        }
-    }
-    site.store.set_page_size(1);
-    restart(&mut site).unwrap();
-    assert_eq!(served(&site, "k1"), 12);
-    // Changes among more odd objects.
-    site.store.put_bytes("config", "odd-0", "1e998".into());
-    let routes = [
-        route_one("/status/", "desk", true),
-        route_one("/new/", "desk", true),
-    ];
-    site.configure(2, &routes, &["desk"]);
-    site.store.put_bytes("evacuations", "odd-0", "1e998".into());
-    site.store.put("evacuations", "here", json!({}));
-    thread::sleep(Duration::from_millis(2_500));
-    assert_eq!(
-        site.ask("GET", "/new/1", "k2", 1_500).unwrap().status(),
-        200
-    );
-    let metrics = site.metrics().unwrap();
-    let evacuated = format!("briarcove_evacuated_upstreams {}", upstreams.len());
-    assert!(metrics.contains(&evacuated), "{metrics}");
-    // An evacuation is in force whatever its content is.
-    site.store.put_bytes("evacuations", "here", "1e999".into());
-    restart(&mut site).unwrap();
-    assert!(site.metrics().unwrap().contains(&evacuated));
-}
-
-/// The configuration in force stays when the next one cannot be read.
-#[test]
-fn a_configuration_that_cannot_be_read_changes_nothing() {
-    let (site, _upstreams) = start_site("odd_config");
-    for (at, value) in odd_values().into_iter().enumerate() {
-        site.store.put_bytes("config", "main", value);
-        thread::sleep(Duration::from_millis(1_200));
-        assert_eq!(served(&site, &format!("c{at}")), 12);
-    }
-    site.configure(2, &[route_one("/new/", "desk", true)], &["desk"]);
-    thread::sleep(Duration::from_millis(1_500));
-    assert_eq!(site.ask("GET", "/new/1", "c", 1_500).unwrap().status(), 200);
-}
-
-/// Shares of limits and budgets are computed from all records.
-#[test]
-fn an_odd_record_of_an_instance_counts_for_none() {
-    let (mut site, _upstreams) = start_site("odd_records");
-    let record = |port: usize, power: &str| {
-        let address = format!("127.0.0.1:{}", 99 + port);
-        let text = format!(r#"{{"dataCentre":"here","address":"{address}","power":{power}}}"#);
-        Bytes::from(text)
-    };
-    let powers = ["-1", "-0.1", "1e300", "1e999", "\"1\"", "null", "[[1]]"];
-    for (at, power) in powers.into_iter().enumerate() {
-        let name = format!("odd-{at}");
-        site.store
-            .put_bytes("briarcove-instances", &name, record(at, power));
-    }
-    for (at, value) in odd_values().into_iter().enumerate() {
-        site.store
-            .put_bytes("briarcove-instances", &format!("value-{at}"), value);
-    }
-    // The instance has its own record by then.
-    thread::sleep(Duration::from_millis(2_500));
-    restart(&mut site).unwrap();
-    thread::sleep(Duration::from_millis(500));
-    assert_eq!(instances(&site), 1);
-    assert_eq!(served(&site, "r"), 12);
-}
--- a/crates/node/tests/store.rs
+++ b/crates/node/tests/store.rs
@@ -201,6 +201,60 @@
     ));
 }
 
+/// Values that a parser does not bear, in each kind of object that is read.
+#[test]
+fn odd_objects_are_ignored_with_a_note() {
+    let mut store = Store::default();
+    let mut effects = Vec::new();
+    let sound = vec![
+        document(1, "a"),
+        head(2, 7, "a"),
+        index(3, &[4]),
+        liveness(4, "diary"),
+    ];
+    store.apply(Page::of(sound), &mut effects);
+    let nested = ["[".repeat(20_000), "]".repeat(20_000)].concat();
+    let mut version = 10;
+    for odd in [
+        &*nested,
+        "1e999",
+        "\"\\ud800\"",
+        "null",
+        "{\"revision\":1e30}",
+    ] {
+        for kind in [Kind::Catalogue, Kind::Index, Kind::Liveness] {
+            effects.clear();
+            version += 1;
+            let name = if kind == Kind::Catalogue {
+                "head"
+            } else {
+                "diary"
+            };
+            let changes = store.apply(
+                Page::of(vec![object(kind, name, version, odd)]),
+                &mut effects,
+            );
+            assert!(changes.is_empty(), "{kind:?}: {changes:?}");
+            let noted = matches!(&effects[..], [Effect::Note(Note::BadObject { .. })]);
+            assert!(noted, "{kind:?}: {effects:?}");
+        }
+        effects.clear();
+        version += 2;
+        // A document counts once a head names it.
+        let revision = 100 + version;
+        let objects = vec![
+            object(Kind::Document, &format!("odd-{version}"), version - 1, odd),
+            head(version, revision, &format!("odd-{version}")),
+        ];
+        assert!(store.apply(Page::of(objects), &mut effects).is_empty());
+        let noted = matches!(&effects[..], [Effect::Note(Note::BadObject { .. })]);
+        assert!(noted, "{effects:?}");
+    }
+    assert_eq!(store.head().unwrap().revision, Revision(7));
+    let diary: base::ServiceName = "diary".parse().unwrap();
+    assert!(store.index(&diary).is_some() && store.liveness(&diary).is_some());
+}
+
 /// A fixed membership.
 struct TestPeers {
     self_is_watcher: bool,
--- a/crates/plat/tests/main.rs
+++ b/crates/plat/tests/main.rs
@@ -149,3 +149,27 @@
     }
     assert_eq!(script.connections(), 0);
 }
+
+/// The store of an instance ignores a value that is not valid, which it could not if the watch failed.
+#[test]
+fn a_watch_with_an_odd_value_brings_the_other_objects() {
+    let nested = ["[".repeat(20_000), "]".repeat(20_000)].concat();
+    for odd in [&nested, "1e999", &"9".repeat(400), r#""\ud800""#, "null"] {
+        let object = |name: &str, value: &str| {
+            format!(r#"{{"kind":"index","name":"{name}","version":6,"value":{value}}}"#)
+        };
+        let objects = [object("a&+#% ", odd), object("b", "{}")].join(",");
+        let body = format!(r#"{{"seen":7,"objects":[{objects}]}}"#);
+        let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n", body.len());
+        let script = Script::start(vec![Answer::Reply(format!("{head}{body}").leak())]);
+        let watch = async {
+            let client = client(&script);
+            client
+                .watch(Version(5), &Kind::WATCHED, Duration::from_millis(20))
+                .await
+        };
+        let objects = run(watch).unwrap().objects;
+        let names: Vec<&str> = objects.iter().map(|object| &*object.name).collect();
+        assert_eq!(names, ["a&+#% ", "b"]);
+    }
+}
--- a/crates/up/tests/failures.rs
+++ b/crates/up/tests/failures.rs
@@ -216,3 +216,69 @@
         until(|| fake.open() == 0).await;
     });
 }
+
+/// Bytes of a flood; more than a reply may have.
+const FLOOD_BYTES: usize = 32 << 20;
+
+/// An upstream that sends without end must cost neither memory nor a connection for good.
+#[test]
+fn a_flood_in_place_of_a_reply_is_malformed_and_closes() {
+    for (first, next) in [
+        ("", "no reply"),
+        ("HTTP/1.1 200 OK\r\nx-long: ", "a"),
+        ("HTTP/1.1 200 OK\r\n", "x-more: 1\r\n"),
+        ("HTTP/1.1 200 OK\r\n\r\n", "body"),
+        (
+            "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n",
+            "4\r\nbody\r\n",
+        ),
+    ] {
+        let flood = format!("{first}{}", next.repeat(FLOOD_BYTES / next.len()));
+        let fake = FakeUpstream::start(move |_| Some(flood.clone().into_bytes()));
+        block_on(async {
+            let mut up = Harness::new(Settings::default());
+            up.search(fake.address, 2, 5_000);
+            assert_eq!(
+                up.next_failure().await,
+                Failure::Malformed,
+                "{first:?} {next:?}"
+            );
+            up.run(fake.address, 2, 5_000);
+            assert_eq!(
+                up.next_failure().await,
+                Failure::Malformed,
+                "{first:?} {next:?}"
+            );
+            until(|| up.pools.connections() == 0).await;
+        });
+    }
+}
+
+/// Status 000 and names that hold a blank or a control byte.
+#[test]
+fn a_head_that_is_not_http_is_malformed_and_closes() {
+    for head in [
+        "HTTP/1.1 000 \r\n",
+        "HTTP/1.1 099 X\r\n",
+        "HTTP/1.1 101 X\r\n",
+        "HTTP/1.1 999 X\r\n",
+        "HTTP/1.1 200 OK\r\nx odd: 1\r\n",
+        "HTTP/1.1 200 OK\r\nx-odd : 1\r\n",
+        "HTTP/1.1 200 OK\r\nx\u{1}odd: 1\r\n",
+        "HTTP/1.1 200 OK\r\nx\0odd: 1\r\n",
+        "HTTP/1.1 200 OK\r\n: 1\r\n",
+    ] {
+        let fake = FakeUpstream::start(move |request| {
+            let reply = String::from_utf8(request.valid_reply()).unwrap();
+            let (_, rest) = reply.split_once("\r\n").unwrap();
+            Some(format!("{head}{rest}").into_bytes())
+        });
+        block_on(async {
+            let mut up = Harness::new(Settings::default());
+            up.search(fake.address, 2, 1_000);
+            assert_eq!(up.next_failure().await, Failure::Malformed, "{head:?}");
+            up.run(fake.address, 2, 1_000);
+            assert_eq!(up.next_failure().await, Failure::Malformed, "{head:?}");
+        });
+    }
+}
