Test: an entry with the largest numbers of its types does no harm

Handled before: sums of times and counts saturate, and an upstream that refuses connections is passed over. The test goes through the process: 12 of 12 requests are served beside such an entry, after a restart, and after it has gone.

--- a/crates/briarcove/tests/odd_entries.rs
+++ b/crates/briarcove/tests/odd_entries.rs
@@ -180,6 +180,27 @@
     assert_eq!([first, second].map(|it| it.arrivals().len()), [0, 12]);
 }
 
+/// Numbers of the right type that no upstream names end no instance, and make none of the others wait.
+#[test]
+fn an_entry_with_the_largest_numbers_does_no_harm() {
+    let (mut site, _upstreams) = start_site("largest");
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr();
+    let mut entry = json!({"service": "desk", "addr": closed.unwrap().to_string(), "zone": "here",
+        "version": "v1", "state": "ready", "slots": u32::MAX});
+    for field in ["coldLeftMs", "seq", "born"] {
+        entry[field] = json!(u64::MAX);
+    }
+    site.store.put("servers", "another-writer", entry);
+    thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(served(&site, "l1"), 12);
+    restart(&mut site).unwrap();
+    assert_eq!(served(&site, "l2"), 12);
+    site.store.remove("servers", "another-writer");
+    thread::sleep(Duration::from_millis(1_500));
+    assert_eq!(served(&site, "l3"), 12);
+    assert!(!site.has_ended(), "{}", site.end());
+}
+
 /// An instance that does not watch the store learns of it from another one.
 #[test]
 fn a_follower_drops_an_upstream_whose_entry_turns_unreadable() {
