--- a/crates/tier/src/tier/calls.rs
+++ b/crates/tier/src/tier/calls.rs
@@ -171,9 +171,11 @@
 
     /// Returns whether the process is likely to end before a request on a route that starts now.
     pub(super) fn stops_before(&self, now: Time, route: &Route) -> bool {
-        let mean = self.routes.get(&*route.name);
-        let mean = mean.map_or(Duration::ZERO, |it| it.latency.mean(Duration::ZERO));
-        let stops_at = self.stops_at.unwrap_or(Time::NEVER);
+        let Some(stops_at) = self.stops_at else {
+            return false;
+        };
+        let state = self.routes.get(&*route.name);
+        let mean = state.map_or(Duration::ZERO, |it| it.latency.mean(Duration::ZERO));
         !stopping::may_start(now, stops_at, route.objective, mean)
     }
 
