One odd value of an organisation takes nothing from the others

What callers saw: with one key, rate or region of one organisation in the configuration that the parser of JSON does not bear (nested too deeply, 1e999, \ud800, bytes that are no text), no instance became ready after a restart, and the callers of all organisations were refused. Found while the places that read objects of the store were gone through.

Cause: the configuration is one object, and its content was unreadable as a whole. The parser of organisations, which leaves out what is invalid of one, was never reached.

--- a/crates/briarcove/tests/odd_objects.rs
+++ b/crates/briarcove/tests/odd_objects.rs
@@ -129,3 +129,30 @@
     assert_eq!(instances(&site), 1);
     assert_eq!(served(&site, "r"), 12);
 }
+
+/// One odd key of one organisation kept the callers of all from being served after a restart.
+#[test]
+fn an_odd_key_takes_nothing_from_other_organisations() {
+    let (mut site, _upstreams) = start_site("odd_key");
+    for odd in odd_values() {
+        let services = json!([{"name": "desk", "healthPath": "/health", "maxConns": 50}]);
+        let tenants = json!([{"name": "odd", "apiKeys": ["key-2", "<odd>"]},
+            {"name": "acme", "apiKeys": ["key-1"]}]);
+        let routes = [route_one("/status/", "desk", true)];
+        let spec = json!({"version": 2, "routes": routes, "services": services, "limits": {},
+            "tenants": tenants});
+        let spec = spec.to_string();
+        let (before, after) = spec.split_once("\"<odd>\"").unwrap();
+        let spec = [before.as_bytes(), &odd, after.as_bytes()].concat();
+        site.store.put_bytes("config", "main", spec.into());
+        site.key = Some("key-1");
+        restart(&mut site).unwrap();
+        assert_eq!(served(&site, "acme"), 12);
+        site.key = Some("key-2");
+        assert_eq!(served(&site, "odd"), 12);
+        site.key = Some("key-3");
+        let refused = site.ask("GET", "/status/1", "none", 1_500).unwrap();
+        // 503 while the instance may not have the newest configuration.
+        assert!([401, 503].contains(&refused.status().as_u16()));
+    }
+}
