--- a/crates/briarcove/tests/odd_answers.rs
+++ b/crates/briarcove/tests/odd_answers.rs
@@ -34,8 +34,8 @@
     "HTTP/1.1 999 OK",
 ];
 
-/// Lines of a head whose names hold what a name must not.
-const NAMES: [&[u8]; 14] = [
+/// Lines of a head or of trailers whose names hold what a name must not.
+const NAMES: [&[u8]; 12] = [
     b"x odd: 1",
     b" x-odd: 1",
     b"x-odd : 1",
@@ -48,10 +48,11 @@
     b"x(odd): 1",
     b": 1",
     b"x-odd",
-    b"content length: 9",
-    b"content-length : 9",
 ];
 
+/// The same for a line that frames the body.
+const LENGTHS: [&[u8]; 2] = [b"content length: 9", b"content-length : 9"];
+
 /// Lines whose values hold control bytes.
 const VALUES: [&[u8]; 4] = [
     b"x-odd: a\x01b",
@@ -64,10 +65,11 @@
     format!("{status}\r\nx-request-id: {id}\r\nx-server-stamp: sig.{id}\r\n")
 }
 
-/// Returns answers that are none, each as what stands before and after the id of the request.
+/// Returns what is no answer to the request with an id: by its status, its head, its trailers or the
+/// framing of its body.
 fn odd_answers(id: &str) -> Vec<Vec<u8>> {
     let ok = head(id, "HTTP/1.1 200 OK");
-    let lines = NAMES.iter().chain(&VALUES);
+    let lines = NAMES.iter().chain(&LENGTHS).chain(&VALUES);
     let with_line = |line: &&[u8]| {
         let end = b"\r\ncontent-length: 16\r\n\r\n0123456789abcdef";
         [ok.as_bytes(), line, &end[..]].concat()
@@ -81,8 +83,8 @@
         format!("{head}content-length: 16\r\n\r\n0123456789abcdef").into_bytes()
     };
     let mut answers: Vec<Vec<u8>> = STATUS_LINES.iter().map(with_status).collect();
-    answers.extend(lines.clone().map(with_line));
-    answers.extend(NAMES[..12].iter().map(with_trailer));
+    answers.extend(lines.map(with_line));
+    answers.extend(NAMES.iter().map(with_trailer));
     for framing in [
         "transfer-encoding: chunked\r\n\r\n-1\r\n",
         "transfer-encoding: chunked\r\n\r\nfffffffffffffffff\r\n",
