Test: odd answers to health checks end no cut-off and no process

Handled before: a health check whose answer is none in the protocol, or goes on without end, counts as unanswered. The test cuts an instance off from two upstreams that then answer each health check with another of 29 odd heads, or with a flood: it stays not ready and alive, below the memory limit of the smallest machines, asks on, and is ready again once the answers are sound. The 51 odd answers of odd_answers.rs are the same, in two lists that both tests share.

--- a/crates/briarcove/tests/main.rs
+++ b/crates/briarcove/tests/main.rs
@@ -15,6 +15,7 @@
 mod malformed;
 mod odd_answers;
 mod odd_entries;
+mod odd_health;
 mod odd_objects;
 mod organisations;
 mod peers;
--- a/crates/briarcove/tests/odd_answers.rs
+++ b/crates/briarcove/tests/odd_answers.rs
@@ -16,8 +16,8 @@
     malformed::{entry, serve},
 };
 
-/// Status lines that are none of a final answer.
-const STATUS_LINES: [&str; 14] = [
+/// Lines that are no status lines of HTTP/1.
+const STATUS_LINES: [&str; 11] = [
     "HTTP/1.1 000 ",
     "HTTP/1.1 000 OK",
     "HTTP/1.1 00 OK",
@@ -29,6 +29,10 @@
     "HTTP/1.1  OK",
     "HTTP/2.0 200 OK",
     "ICY 200 OK",
+];
+
+/// Status lines that are none of a final answer.
+const OTHER_STATUSES: [&str; 3] = [
     "HTTP/1.1 101 Switching Protocols",
     "HTTP/1.1 600 OK",
     "HTTP/1.1 999 OK",
@@ -65,25 +69,33 @@
     format!("{status}\r\nx-request-id: {id}\r\nx-server-stamp: sig.{id}\r\n")
 }
 
-/// Returns what is no answer to the request with an id: by its status, its head, its trailers or the
-/// framing of its body.
-fn odd_answers(id: &str) -> Vec<Vec<u8>> {
+fn with_status(id: &str, status: &str) -> Vec<u8> {
+    let head = head(id, status);
+    format!("{head}content-length: 16\r\n\r\n0123456789abcdef").into_bytes()
+}
+
+/// Returns what is no answer to the request with an id by its status line or a line of its head.
+pub(crate) fn odd_heads(id: &str) -> Vec<Vec<u8>> {
     let ok = head(id, "HTTP/1.1 200 OK");
     let lines = NAMES.iter().chain(&LENGTHS).chain(&VALUES);
-    let with_line = |line: &&[u8]| {
+    let with_line = lines.map(|line| {
         let end = b"\r\ncontent-length: 16\r\n\r\n0123456789abcdef";
         [ok.as_bytes(), line, &end[..]].concat()
-    };
+    });
+    let with_status = STATUS_LINES.iter().map(|status| with_status(id, status));
+    with_status.chain(with_line).collect()
+}
+
+/// Returns the same and what is no answer by a status that is not that of one, by its trailers or by
+/// the framing of its body.
+fn odd_answers(id: &str) -> Vec<Vec<u8>> {
+    let ok = head(id, "HTTP/1.1 200 OK");
     let with_trailer = |line: &&[u8]| {
         let body = b"transfer-encoding: chunked\r\n\r\n10\r\n0123456789abcdef\r\n0\r\n";
         [ok.as_bytes(), &body[..], line, b"\r\n\r\n"].concat()
     };
-    let with_status = |status: &&str| {
-        let head = head(id, status);
-        format!("{head}content-length: 16\r\n\r\n0123456789abcdef").into_bytes()
-    };
-    let mut answers: Vec<Vec<u8>> = STATUS_LINES.iter().map(with_status).collect();
-    answers.extend(lines.map(with_line));
+    let mut answers = odd_heads(id);
+    answers.extend(OTHER_STATUSES.iter().map(|status| with_status(id, status)));
     answers.extend(NAMES.iter().map(with_trailer));
     for framing in [
         "transfer-encoding: chunked\r\n\r\n-1\r\n",
