Review: drop the case on lost permits, which an earlier one shows

The case on the lost watch is case 11 now; the store of the stand-ins bears Store-Era, leaving backends say so in their answers.

--- a/review/standin-3/backend.rs
+++ b/review/standin-3/backend.rs
@@ -134,11 +134,14 @@
         self.runs.lock().unwrap().push(run);
         thread::sleep(self.work);
         let stamp = format!("{}.{id}.ok", self.id);
-        let headers = [
+        let mut headers = vec![
             ("X-Request-Id", id),
             ("X-Server-Stamp", &*stamp),
             ("Keep-Alive", "timeout=10"),
         ];
+        if self.draining.load(Ordering::Relaxed) {
+            headers.push(("Server-Leaving", "1"));
+        }
         http::respond(stream, 200, &headers, format!("{:016}", 7).as_bytes())
     }
 }
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -2,7 +2,6 @@
 
 mod backend;
 mod case_11;
-mod case_12;
 mod client;
 mod config;
 mod edge;
@@ -22,7 +21,6 @@
     let trouble = env::var("TROUBLE").map_or(true, |it| it != "0");
     let result = match case.as_str() {
         "11" => case_11::run(&folder, &record, trouble),
-        "12" => case_12::run(&folder, &record, trouble),
         _ => Err(format!("no case {case:?}")),
     };
     let code = match &result {
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -149,7 +149,7 @@
                 let _ = http::read(&mut input);
                 return;
             }
-            let headers = [("Content-Type", "application/json")];
+            let headers = [("Content-Type", "application/json"), ("Store-Era", "1")];
             if http::respond(&stream, status, &headers, body.as_bytes()).is_err() {
                 return;
             }
