--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -11,6 +11,9 @@
 
 use crate::{http, json, record::Record};
 
+/// Time for an answer.
+const ANSWER_TIME: Duration = Duration::from_millis(4);
+
 #[derive(Clone)]
 struct Object {
     spec: String,
@@ -74,10 +77,11 @@
         }
         state.revision += 1;
         let revision = state.revision;
+        let known = state.objects.get(&key);
         let object = Object {
             spec: spec.to_owned(),
             revision,
-            created: revision,
+            created: known.map_or(revision, |it| it.created),
         };
         state.objects.insert(key.clone(), object.clone());
         state.history.push((revision, key.0, key.1, Some(object)));
@@ -130,6 +134,7 @@
         };
         let mut input = BufReader::new(input);
         while let Ok(Some(call)) = http::read(&mut input) {
+            thread::sleep(ANSWER_TIME);
             let (status, body) = self.answer(&call);
             if call.first[1].contains("serializable=1") {
                 *self
